--- a/src/bin/paddlefold-adapter.rs
+++ b/src/bin/stonefold-wirehost.rs
@@ -6,10 +6,10 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    match paddlefold::wire::run(input, output, io::stderr()) {
+    match stonefold::wire::run(input, output, io::stderr()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("paddlefold-adapter: {error}");
+            eprintln!("stonefold-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! and starts no thread: the embedder carries the actions out and tells it the time.
 //!
 //! ```
-//! use paddlefold::{Action, Balancer, Event, ListScope, Member, Request, RequestId, ServerId, Settings};
+//! use stonefold::{Action, Balancer, Event, ListScope, Member, Request, RequestId, ServerId, Settings};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, 0);
 //! let mut actions = Vec::new();
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,6 @@
 }
 
 fn failed(error: impl Display) -> ExitCode {
-    eprintln!("lilacquay: {error}");
+    eprintln!("stonefold: {error}");
     ExitCode::FAILURE
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use paddlefold::Outcome;
+use stonefold::Outcome;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
--- a/src/node/caches.rs
+++ b/src/node/caches.rs
@@ -4,9 +4,9 @@
 use std::mem::MaybeUninit;
 
 use bytes::{Bytes, BytesMut};
-use paddlefold::Outcome;
 use redis_protocol::resp2::types::BytesFrame;
 use socket2::SockRef;
+use stonefold::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -8,10 +8,10 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
-use paddlefold::{Micros, RequestId};
 use percent_encoding::{AsciiSet, CONTROLS, PercentEncode, percent_encode};
 use redis_protocol::resp2::encode::extend_encode;
 use redis_protocol::resp2::types::BytesFrame;
+use stonefold::{Micros, RequestId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::AtomicUsize;
 use std::{fmt, fs, io};
 
-use paddlefold::setup::{Setup, SetupError, Stated};
 use serde::Deserialize;
+use stonefold::setup::{Setup, SetupError, Stated};
 
 use super::clients::Bounds;
 use super::discovery::List;
--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use paddlefold::setup::{Setup, micros};
-use paddlefold::{Member, MemberState, ServerId};
+use stonefold::setup::{Setup, micros};
+use stonefold::{Member, MemberState, ServerId};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use paddlefold::setup::Setup;
-use paddlefold::{
+use stonefold::setup::Setup;
+use stonefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
--- a/src/node/origin.rs
+++ b/src/node/origin.rs
@@ -10,7 +10,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use paddlefold::Outcome;
+use stonefold::Outcome;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -178,7 +178,7 @@
 /// The program, by way of a shell command that ends in `exec "$0"`.
 pub fn program(shell: &str) -> Command {
     let mut command = Command::new("/bin/sh");
-    command.args(["-c", shell, env!("CARGO_BIN_EXE_lilacquay")]).env_clear().stderr(Stdio::piped());
+    command.args(["-c", shell, env!("CARGO_BIN_EXE_stonefold")]).env_clear().stderr(Stdio::piped());
     command
 }
 
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use common::SECOND;
-use paddlefold::*;
+use stonefold::*;
 
 struct Attempt {
     server: ServerId,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire, on hand-written transcripts.
 
-use paddlefold::wire::run;
+use stonefold::wire::run;
 
 fn answer(input: &str) -> (Result<(), String>, String, String) {
     let (mut output, mut notes) = (Vec::new(), Vec::new());
