--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! One cache-proxy node: reads its configuration, serves until it is told to stop.
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod node;
 
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -209,6 +209,15 @@
     }
 }
 
+/// How connections end when the process does.
+#[derive(Clone, Default)]
+pub struct Closing {
+    /// Those that have had a request close as soon as nothing is owed.
+    pub used: CancellationToken,
+    /// Those that have had none close too.
+    pub silent: CancellationToken,
+}
+
 /// The listener's side: what all sessions share.
 #[derive(Clone)]
 pub struct Clients {
@@ -225,8 +234,7 @@
     held: Arc<AtomicUsize>,
     /// Places for buffers that are not small.
     large: Arc<Semaphore>,
-    /// Set when connections are to be closed between requests.
-    closing: CancellationToken,
+    closing: Closing,
     sessions: TaskTracker,
 }
 
@@ -235,7 +243,7 @@
         to: UnboundedSender<Message>,
         bounds: Bounds,
         classes: HashSet<String>,
-        closing: CancellationToken,
+        closing: Closing,
         sessions: TaskTracker,
     ) -> Self {
         let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
@@ -387,8 +395,9 @@
         let mut seat = None;
         loop {
             let unowed = self.owed.is_empty();
-            let stopping = closing.is_cancelled();
-            if unowed && (self.broken.is_some() || stopping && self.buffer.is_empty()) {
+            let stopping = closing.used.is_cancelled();
+            let parting = stopping && self.asked || closing.silent.is_cancelled();
+            if unowed && (self.broken.is_some() || parting && self.buffer.is_empty()) {
                 return writer.shutdown().await;
             }
             let guest = unowed.then(|| self.guest());
@@ -420,7 +429,8 @@
                     self.since = Instant::now();
                 }
                 () = yield_now(), if self.more => {}
-                () = closing.cancelled(), if !stopping => {}
+                () = closing.used.cancelled(), if !stopping => {}
+                () = closing.silent.cancelled(), if !closing.silent.is_cancelled() => {}
                 () = sleep_until(give_up_at), if may_give_up => {
                     let error = BytesFrame::Error("ERR no whole command".into());
                     let mut text = BytesMut::new();
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -11,10 +11,12 @@
 
 use super::clients::Bounds;
 use super::discovery::List;
+use super::handover;
+use super::operator::CALLERS;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
-/// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
-const RESERVED: usize = 24;
+/// listeners, discovery, the runtimes' own, operators, and one to spare for a connection that is turned away.
+const RESERVED: usize = 22 + CALLERS;
 /// Where the configuration sets no limit.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
@@ -23,9 +25,15 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     pub seed: u64,
+    /// Processes that share the limits: two, where a successor may run beside this one.
+    pub processes: usize,
+    /// Descriptors of the node.
     pub sockets: usize,
-    pub memory_mb: usize,
+    /// This process's part of the memory.
+    pub memory: usize,
     pub known: List,
     pub setup: Setup,
 }
@@ -52,7 +60,7 @@
             ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
             ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
             ConfigError::Sockets(n) => {
-                write!(f, "a limit of {n} sockets is too low: {} wanted", 2 * RESERVED)
+                write!(f, "a limit of {n} sockets is too low: {} wanted for each process", 2 * RESERVED)
             }
         }
     }
@@ -62,6 +70,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -88,16 +97,19 @@
     /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
     pub fn from_env() -> Result<Config, ConfigError> {
         let file = File::read()?;
+        let processes = if handover::is_passed() { 2 } else { 1 };
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
-        if sockets < 2 * RESERVED {
+        if sockets < 2 * RESERVED * processes {
             return Err(ConfigError::Sockets(sockets));
         }
         Ok(Config {
             listen: address("EDGE_LISTEN", file.listen)?,
             discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            operator: given("EDGE_OPERATOR", file.operator)?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
+            processes,
             sockets,
-            memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB),
+            memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20) / processes,
             known: file.known,
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
         })
@@ -113,15 +125,16 @@
     }
 
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
-    /// for those to come; a quarter of the memory.
+    /// for those to come; a quarter of the memory. The third is one for both processes of an upgrade: a client
+    /// that comes to the new one has left the old.
     pub fn client_bounds(&self, to_servers: Arc<AtomicUsize>) -> Bounds {
-        let with_servers = self.sockets - RESERVED - self.sockets / 8;
-        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: (self.memory_mb << 20) / 4 }
+        let with_servers = (self.sockets / self.processes).saturating_sub(RESERVED + self.sockets / 8);
+        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: self.memory / 4 }
     }
 
     /// Most connections to servers.
     pub fn server_connections(&self) -> usize {
-        self.sockets - RESERVED - self.sockets / 3
+        (self.sockets - self.sockets / 3) / self.processes - RESERVED
     }
 }
 
@@ -134,7 +147,12 @@
 }
 
 fn address(name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
-    parse(name, variable(name)?.or(in_file).ok_or(ConfigError::Missing(name))?)
+    given(name, in_file)?.ok_or(ConfigError::Missing(name))
+}
+
+/// An address from the environment, or else from the file.
+fn given(name: &'static str, in_file: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
+    variable(name)?.or(in_file).map(|text| parse(name, text)).transpose()
 }
 
 fn parse(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -10,7 +10,7 @@
 use stonefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -41,6 +41,12 @@
     ListFailed,
 }
 
+/// What the driver is told before all else, whatever waits in its inbox.
+pub enum Control {
+    /// The process ends at this time: what comes from now on has to be answered by then.
+    Stopping(Instant),
+}
+
 /// A client's request.
 pub struct Arrival {
     pub id: RequestId,
@@ -116,6 +122,9 @@
     subscribe: Arc<Notify>,
     to_self: UnboundedSender<Message>,
     inbox: UnboundedReceiver<Message>,
+    control: Receiver<Control>,
+    /// When the process ends, once that is known.
+    ends: Option<Instant>,
 }
 
 impl Driver {
@@ -127,6 +136,7 @@
         subscribe: Arc<Notify>,
         to_self: UnboundedSender<Message>,
         inbox: UnboundedReceiver<Message>,
+        control: Receiver<Control>,
     ) -> Self {
         let (clock, settings) = (Clock::new(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive));
@@ -145,6 +155,8 @@
             subscribe,
             to_self,
             inbox,
+            control,
+            ends: None,
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.list(List { full: true, ..config.known });
@@ -156,16 +168,24 @@
     pub async fn run(mut self) {
         loop {
             tokio::select! {
+                biased;
+                Some(control) = self.control.recv() => self.directed(control),
+                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
                 message = self.inbox.recv() => match message {
                     Some(message) => self.told(message),
                     None => return,
                 },
-                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
             }
             self.decide();
         }
     }
 
+    fn directed(&mut self, control: Control) {
+        match control {
+            Control::Stopping(at) => self.ends = Some(at),
+        }
+    }
+
     fn told(&mut self, message: Message) {
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
@@ -222,12 +242,14 @@
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { id, command, at, answer } = arrival;
         let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
+        // Guards against: a request that the end of the process finds unanswered.
+        let left = self.ends.map_or(Micros::MAX, |end| (end - at).as_micros() as Micros);
         let request = Request {
             id,
             class: command.fact("c").and_then(|name| self.setup.class(name)),
             tenant: command.fact("t").and_then(|name| self.setup.tenant(name)),
             key: Some(command.key.clone()),
-            budget: command.wait.saturating_sub(spent),
+            budget: command.wait.min(left).saturating_sub(spent),
             write: command.value.is_some(),
         };
         let open = Open { command: Arc::new(command), answer: Some(answer), attempts: Vec::new() };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,8 @@
 mod directory;
 mod discovery;
 mod driver;
+mod handover;
+mod operator;
 mod origin;
 mod resp;
 mod seats;
@@ -15,21 +17,25 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use config::Config;
-use driver::Driver;
+use driver::{Control, Driver};
+use operator::Call;
 
-/// After word to stop, connections that were on their way are still taken for so long.
+/// After word to stop, connections that were on their way are still taken for so long, unless a successor has
+/// them.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// A new connection's first request may be on its way for so long; it is not closed before.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
+/// Directions that may wait for the driver.
+const CONTROLS: usize = 16;
 /// What was taken is answered within the longest deadline, of which the platform grants so much ...
 const LONGEST_GRANTED: Duration = Duration::from_secs(3);
 /// ... and so much more: it grants 0.7 s.
@@ -40,9 +46,7 @@
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
+    let listener = handover::listener(config.listen).await.map_err(io::Error::other)?;
     log(format_args!("listening on {}", listener.local_addr()?));
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (sender, inbox) = mpsc::unbounded_channel();
@@ -53,25 +57,39 @@
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
     let classes = config.setup.class_names();
-    let driver = Driver::new(config, servers_limit, to_servers, subscribe, sender.clone(), inbox);
+    let (control, directions) = mpsc::channel(CONTROLS);
+    let serving = Arc::new(AtomicBool::new(false));
+    if let Some(at) = config.operator {
+        operator::start(at, Desk { serving: serving.clone() })?;
+    }
+    let driver = Driver::new(config, servers_limit, to_servers, subscribe, sender.clone(), inbox, directions);
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
     tokio::spawn(follow_configuration(reload, new_address));
 
-    let closing = CancellationToken::new();
+    let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
     let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone());
     let accepting = tokio::spawn(clients.accept(listener));
+    serving.store(true, Ordering::Relaxed);
     tokio::select! {
         _ = stop.recv() => {}
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
     }
     let last = Instant::now() + longest + LAST_WRITES;
-    sleep(STILL_ACCEPTING).await;
+    let _ = control.send(Control::Stopping(last - LAST_WRITES / 2)).await; // a driver that is gone takes nothing
+    serving.store(false, Ordering::Relaxed);
+    if !handover::is_passed() {
+        sleep(STILL_ACCEPTING).await;
+    }
     accepting.abort();
-    let _ = accepting.await; // the listener is closed with it
-    closing.cancel();
+    let _ = accepting.await; // our descriptor of the listener is closed with it, the listener only if it is the last
     sessions.close();
+    closing.used.cancel();
+    tokio::select! {
+        () = sessions.wait() => return Ok(()),
+        () = sleep(FIRST_REQUEST) => closing.silent.cancel(),
+    }
     tokio::select! {
         () = sessions.wait() => {}
         () = sleep_until(last) => {}
@@ -79,6 +97,21 @@
     Ok(())
 }
 
+/// What operators are answered from.
+struct Desk {
+    /// Whether clients' connections are taken.
+    serving: Arc<AtomicBool>,
+}
+
+impl operator::Desk for Desk {
+    async fn answer(&self, call: Call) -> String {
+        match call {
+            Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
+            Call::Ready => "fail not serving".into(),
+        }
+    }
+}
+
 /// At each SIGHUP, tells where discovery is by the configuration as it is now.
 async fn follow_configuration(mut reload: Signal, address: watch::Sender<SocketAddr>) {
     while reload.recv().await.is_some() {
--- /dev/null
+++ b/src/node/operator.rs
@@ -0,0 +1,145 @@
+//! Where operators call: one line in, one answer out, whatever the load.
+//!
+//! It runs on a thread of its own, so that no answer waits for its turn behind requests. Of the node it
+//! holds only what can be read or told without waiting for long; see [`Desk`].
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::{io, str, thread};
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+use super::log;
+
+/// Callers at a time. Beyond that a newcomer takes the place of the one who came first.
+pub const CALLERS: usize = 8;
+/// The longest call.
+const LINE: u64 = 256;
+/// Who has not said a whole line after so long is dropped, and so is who doesn't read the answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// After a bind or an accept that failed.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What an operator asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+}
+
+/// Why a line is no call.
+#[derive(Debug, PartialEq, Eq)]
+pub enum CallError {
+    Empty,
+    Unfinished,
+    TooLong,
+    NotText,
+    Unknown,
+    Arguments,
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            CallError::Empty => "empty call",
+            CallError::Unfinished => "call without an end of line",
+            CallError::TooLong => "call too long",
+            CallError::NotText => "call is not text",
+            CallError::Unknown => "unknown call",
+            CallError::Arguments => "wrong arguments",
+        })
+    }
+}
+
+impl Call {
+    /// Reads a call, its end of line included.
+    fn parse(line: &[u8]) -> Result<Call, CallError> {
+        let Some(text) = line.strip_suffix(b"\n") else {
+            let full = line.len() as u64 >= LINE;
+            return Err(if full { CallError::TooLong } else { CallError::Unfinished });
+        };
+        let text = str::from_utf8(text).map_err(|_| CallError::NotText)?;
+        let words: Vec<&str> = text.split_ascii_whitespace().collect();
+        match words[..] {
+            [] => Err(CallError::Empty),
+            ["READY"] => Ok(Call::Ready),
+            ["READY", ..] => Err(CallError::Arguments),
+            _ => Err(CallError::Unknown),
+        }
+    }
+}
+
+/// Who answers the calls.
+pub trait Desk: Send + Sync + 'static {
+    /// The whole answer, without the last end of line.
+    fn answer(&self, call: Call) -> impl Future<Output = String> + Send;
+}
+
+/// Starts the thread that serves operators until the process ends.
+pub fn start(at: SocketAddr, desk: impl Desk) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let serve = move || runtime.block_on(serve(at, Arc::new(desk)));
+    thread::Builder::new().name("operator".into()).stack_size(256 << 10).spawn(serve).map(drop)
+}
+
+async fn serve(at: SocketAddr, desk: Arc<impl Desk>) {
+    let mut complained = false;
+    // Guards against: an end, or a node that nobody can call, while a predecessor still has the address.
+    let listener = loop {
+        match TcpListener::bind(at).await {
+            Ok(listener) => break listener,
+            Err(error) if !complained => {
+                log(format_args!("operator: cannot listen on {at} yet: {error}"));
+                complained = true;
+            }
+            Err(_) => {}
+        }
+        sleep(PAUSE).await;
+    };
+    if let Ok(at) = listener.local_addr() {
+        log(format_args!("operators call at {at}"));
+    }
+    attend(listener, desk).await;
+}
+
+async fn attend(listener: TcpListener, desk: Arc<impl Desk>) {
+    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log(format_args!("operator: accept: {error}"));
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        callers.retain(|caller| !caller.is_finished());
+        // Guards against: callers who say nothing and stay, until nobody gets through.
+        while callers.len() >= CALLERS {
+            callers.pop_front().inspect(AbortHandle::abort);
+        }
+        let desk = desk.clone();
+        // A caller who breaks off is nobody's trouble.
+        let caller = tokio::spawn(async move { timeout(PATIENCE, hear(stream, &*desk)).await });
+        callers.push_back(caller.abort_handle());
+    }
+}
+
+/// One call and its answer.
+async fn hear(stream: TcpStream, desk: &impl Desk) -> io::Result<()> {
+    let mut stream = BufReader::with_capacity(LINE as usize, stream);
+    let mut line = Vec::new();
+    (&mut stream).take(LINE).read_until(b'\n', &mut line).await?;
+    let mut answer = match Call::parse(&line) {
+        Ok(call) => desk.answer(call).await,
+        Err(error) => format!("fail {error}"),
+    };
+    answer.push('\n');
+    stream.get_mut().write_all(answer.as_bytes()).await?;
+    stream.get_mut().shutdown().await
+}
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -3,6 +3,8 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
@@ -149,6 +151,7 @@
 pub struct Node {
     child: Child,
     addr: SocketAddr,
+    operator: Option<SocketAddr>,
     config: tempfile::NamedTempFile,
 }
 
@@ -189,6 +192,12 @@
     pub sockets: usize,
     pub settings: &'a str,
     pub shell: &'a str,
+    /// Whether operators may call.
+    pub operator: bool,
+    /// A listening socket to pass on.
+    pub passed: Option<&'a TcpListener>,
+    /// What both processes of an upgrade share.
+    pub shared: Option<&'a Path>,
 }
 
 impl Node {
@@ -199,28 +208,53 @@
 
 impl<'a> Start<'a> {
     pub fn new(known: &'a str, discovery: SocketAddr) -> Self {
-        Start { known, discovery, sockets: 1024, settings: SETTINGS, shell: "exec \"$0\"" }
+        Start {
+            known,
+            discovery,
+            sockets: 1024,
+            settings: SETTINGS,
+            shell: "exec \"$0\"",
+            operator: false,
+            passed: None,
+            shared: None,
+        }
     }
 
     pub fn node(self) -> Node {
-        let Start { known, discovery, sockets, settings, shell } = self;
+        let Start { known, discovery, sockets, settings, shell, operator, passed, shared } = self;
         let config = format!(
             r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), config).unwrap();
-        let mut child = program(shell)
+        // The socket comes as standard input, and the shell makes it the descriptor that is named.
+        let passing = format!("exec 4<&0 </dev/null; {shell}");
+        let mut command = program(if passed.is_some() { &passing } else { shell });
+        command
             .env("EDGE_CONFIG", file.path())
             .env("EDGE_LISTEN", "127.0.0.1:0")
-            .env("EDGE_DISCOVERY", discovery.to_string())
-            .spawn()
-            .unwrap();
+            .env("EDGE_DISCOVERY", discovery.to_string());
+        if let Some(listener) = passed {
+            command.stdin(OwnedFd::from(listener.try_clone().unwrap())).env("EDGE_PASSED_SOCKET", "4");
+        }
+        if operator {
+            command.env("EDGE_OPERATOR", "127.0.0.1:0");
+        }
+        if let Some(path) = shared {
+            command.env("TMPDIR", path);
+        }
+        let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let addr = first.trim().strip_prefix("listening on ").expect(&first).parse().unwrap();
+        let (mut addr, mut operators) = (None, None);
+        while addr.is_none() || operator && operators.is_none() {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended at its start");
+            let told = |start: &str| line.trim().strip_prefix(start).map(|addr| addr.parse().unwrap());
+            addr = told("listening on ").or(addr);
+            operators = told("operators call at ").or(operators);
+        }
         // From here on nobody reads the log, which the node must not mind.
-        Node { child, addr, config: file }
+        Node { child, addr: addr.unwrap(), operator: operators, config: file }
     }
 }
 
@@ -231,6 +265,22 @@
         Client { reader: BufReader::new(stream) }
     }
 
+    /// What the node answers to an operator's bytes.
+    pub fn call(&self, bytes: impl AsRef<[u8]>) -> String {
+        let mut stream = self.caller();
+        stream.write_all(bytes.as_ref()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// An operator's connection.
+    pub fn caller(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.operator.unwrap()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,140 @@
+//! What operators do to a running node, from outside.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+
+use fakes::*;
+
+const CACHE: &str = "s-5be2a07c";
+
+/// What stands round a node: one cache, an origin, a silent discovery.
+struct Scene {
+    cache: Fake,
+    origin: Fake,
+    discovery: Fake,
+}
+
+impl Scene {
+    fn new() -> Self {
+        Scene { cache: Fake::cache(), origin: Fake::http(), discovery: Fake::http() }
+    }
+    fn known(&self) -> String {
+        list(41, &[(CACHE, self.cache.addr)], self.origin.addr)
+    }
+    fn node(&self) -> Node {
+        Start { operator: true, ..Start::new(&self.known(), self.discovery.addr) }.node()
+    }
+}
+
+// ---- calls ----
+
+#[test]
+fn ready_is_a_yes_and_what_is_no_call_is_a_no_with_its_reason() {
+    let scene = Scene::new();
+    let node = scene.node();
+    node.client().ping(); // it takes connections
+    assert_eq!(node.call("READY\n"), "ok\n");
+    assert_eq!(node.call("READY\r\n"), "ok\n");
+    let long = "R".repeat(300);
+    for bad in
+        [&b""[..], b"\n", b"READY", b"READY now\n", b"ready\n", b"FLY s-1\n", b"\xff\n", long.as_bytes()]
+    {
+        let mut caller = node.caller();
+        caller.write_all(bad).unwrap();
+        caller.shutdown(Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("fail ") && answer.len() > 6, "{bad:?}: {answer:?}");
+        assert_eq!(answer.lines().count(), 1);
+    }
+}
+
+#[test]
+fn callers_who_say_nothing_keep_nobody_out() {
+    let scene = Scene::new();
+    let node = scene.node();
+    let crowd: Vec<TcpStream> = (0..50)
+        .map(|n| {
+            let mut caller = node.caller();
+            caller.write_all(if n % 2 == 0 { b"" } else { b"REA" }).unwrap();
+            caller
+        })
+        .collect();
+    node.client().ping();
+    assert_eq!(node.call("READY\n"), "ok\n");
+    // The first to come has made room.
+    assert!(matches!((&crowd[0]).read(&mut [0]), Ok(0) | Err(_)));
+}
+
+#[test]
+fn ready_is_a_no_once_the_node_was_told_to_stop() {
+    let scene = Scene::new();
+    let mut node = scene.node();
+    let mut busy = node.client();
+    busy.get("k", "c=read,d=15000");
+    let call = scene.cache.call();
+    assert_eq!(node.call("READY\n"), "ok\n");
+    node.terminate();
+    while node.call("READY\n") == "ok\n" {}
+    call.value("v");
+    assert_eq!(busy.answer().as_deref(), Some("v"));
+    assert!(node.exit());
+}
+
+// ---- an upgrade ----
+
+#[test]
+fn two_processes_on_one_listener_lose_no_request() {
+    let scene = Scene::new();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let known = scene.known();
+    let start =
+        || Start { operator: true, passed: Some(&listener), ..Start::new(&known, scene.discovery.addr) };
+    let mut old = start().node();
+    let mut taken = old.client();
+    taken.get("k", "c=read,d=15000");
+    let call = scene.cache.call();
+    let new = start().node();
+    while new.call("READY\n") != "ok\n" {}
+    old.terminate();
+    while old.call("READY\n") == "ok\n" {}
+    // The listener lives on, and the new process has it to itself.
+    for n in 0..8 {
+        let mut client = new.client();
+        client.send(&["CACHE.GET", "k2", &format!("later-{n}"), "c=read,d=15000"]);
+        scene.cache.call().value("from the new one");
+        assert_eq!(client.answer().as_deref(), Some("from the new one"));
+    }
+    call.value("from the old one");
+    assert_eq!(taken.answer().as_deref(), Some("from the old one"));
+    assert_eq!(taken.answer(), None, "closed behind its answer");
+    assert!(old.exit());
+    new.client().ping();
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_told_in_a_line() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let config = format!(r#"{{"seed":"1","settings":{SETTINGS}}}"#);
+    std::fs::write(file.path(), config).unwrap();
+    for (named, shell) in [
+        ("4", "exec \"$0\""),
+        ("0", "exec \"$0\" </dev/null"),
+        ("four", "exec \"$0\""),
+        ("-1", "exec \"$0\""),
+    ] {
+        let output = program(shell)
+            .env("EDGE_LISTEN", "127.0.0.1:0")
+            .env("EDGE_DISCOVERY", "127.0.0.1:1")
+            .env("EDGE_CONFIG", file.path())
+            .env("EDGE_PASSED_SOCKET", named)
+            .output()
+            .unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success(), "{named}");
+        assert_eq!(told.lines().count(), 1, "{told}");
+    }
+}
