Give up queued requests at once when hopeless, and bound the wait queue

Requests waited for a place until their deadline, and held the clients' connections meanwhile. Now one that has no attempt after half of its time, or lacks the time for an answer, is refused at once, and no more wait than half the places serve in turn.

A log of sessions showed all 128 connections of the clients with a request in work.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -358,7 +358,31 @@
         r.wait = Wait::Place;
         let in_time = if self.now <= r.arrived.saturating_add(r.aim / 2) { 1.0 } else { 0.01 };
         r.ticket = self.gates[gate].push(r.worth * if r.write { 1e3 } else { in_time }, id);
-        self.wake(id, Micros::MAX, out);
+        let after = self.hopeless_at(id).saturating_sub(self.now);
+        self.wake(id, after, out);
+        // Guards against: a queue that takes all connections which clients may hold. The least valuable, or the
+        // one who has waited for longest, goes when more wait than half the places would serve in turn.
+        if self.gates[gate].queue.len() as f64 > self.gates[gate].limit / 2.0 + 4.0 {
+            let last = self.gates[gate].queue.pop_last();
+            last.into_iter().for_each(|(_, _, id)| self.finish(id, out));
+        }
+    }
+
+    /// From when a request in a queue is given up. Guards against: places, clients' connections among them, held
+    /// by requests that would be refused at their deadline: what has not been sent in half of its time seldom
+    /// is, the newest being first, and what lacks the time for an answer never is.
+    fn hopeless_at(&self, id: RequestId) -> Micros {
+        let r = &self.open[&id];
+        let half = r.arrived + r.deadline.saturating_sub(r.arrived) / 2;
+        let last = r.deadline.saturating_sub(self.least(r, &self.timings[r.class]));
+        if r.tries.is_empty() { half.min(last) } else { last }
+    }
+
+    /// Less time than this is too little to send.
+    fn least(&self, r: &Open, timing: &Timing) -> Micros {
+        // Guards against: reads refused untried because their clients have grown impatient.
+        let least = timing.base * if r.repeatable() { HOPEFUL } else { IN_TIME };
+        self.settings.quantum.max(least as Micros)
     }
 
     /// Gives free places to those who wait for them.
@@ -444,9 +468,7 @@
     fn send(&mut self, id: RequestId, to: ServerId, out: &mut Vec<Action>) -> bool {
         let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
         let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
-        // Guards against: reads refused untried because their clients have grown impatient.
-        let least = timing.base * if r.repeatable() { HOPEFUL } else { IN_TIME };
-        let late = self.now + self.settings.quantum.max(least as Micros) >= r.deadline;
+        let late = self.now + self.least(r, timing) >= r.deadline;
         if r.settled || r.streaming || late || r.tries.len() >= self.settings.max_attempts {
             return false; // nothing goes out after the end
         }
@@ -528,6 +550,11 @@
         let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
         if r.outstanding() > 0 {
             self.hedge(id, out);
+        } else if r.wait == Wait::Place {
+            match self.hopeless_at(id).saturating_sub(self.now) {
+                0 => self.finish(id, out),
+                left => self.wake(id, left, out), // answers have become quicker: it may yet be in time
+            }
         } else if r.wait == Wait::Pause || self.now + self.settings.quantum >= r.deadline {
             self.advance(id, out);
         }
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -195,6 +195,8 @@
     /// Connections that they may hold in any case, and together with those to servers.
     pub connections: usize,
     pub with_servers: usize,
+    /// Connections that may rest between requests.
+    pub resting: usize,
     /// How many connections to servers there are.
     pub to_servers: Arc<AtomicUsize>,
     /// Bytes, of which a part each is for open requests and for large buffers.
@@ -247,8 +249,7 @@
         sessions: TaskTracker,
     ) -> Self {
         let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
-        // Clients may hold a third of the descriptors: some of it stays free for their next connections.
-        let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
+        let seats = Arc::new(Seats::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
         let classes = Arc::new(classes);
         Clients { to, bounds, classes, seats, left, next_id, open_ids, held, large, closing, sessions }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -128,8 +128,11 @@
     /// for those to come; a quarter of the memory. The third is one for both processes of an upgrade: a client
     /// that comes to the new one has left the old.
     pub fn client_bounds(&self, to_servers: Arc<AtomicUsize>) -> Bounds {
-        let with_servers = (self.sockets / self.processes).saturating_sub(RESERVED + self.sockets / 8);
-        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: self.memory / 4 }
+        let with_servers = (self.sockets - RESERVED - self.sockets / 8) / self.processes;
+        let connections = self.sockets / 3;
+        // Some of it stays free for their next connections, and for those that a successor takes.
+        let resting = (connections * 3 / 4 / self.processes).max(1);
+        Bounds { connections, with_servers, resting, to_servers, memory: self.memory / 4 }
     }
 
     /// Most connections to servers.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -481,3 +481,55 @@
     let tried = (200..206).filter(|&id| sent(&node.read(id, &format!("k{id}"))).is_some()).count();
     assert_eq!(tried, 6);
 }
+
+// ---- what is given up ----
+
+/// A node whose places at the caches are all taken, and how many requests that took.
+fn jammed() -> (Node, u32) {
+    let mut node = Node::new(settings(Mode::Through), 3);
+    let mut n = 0;
+    while sent(&node.read(n, &format!("k{n}"))).is_some() {
+        n += 1;
+    }
+    (node, n)
+}
+
+#[test]
+fn a_read_that_finds_no_place_in_half_of_its_time_is_refused_then_with_advice() {
+    let (mut node, last) = jammed();
+    let actions = node.read(last + 1, "late");
+    let (after, token) = timer(&actions).expect("it is looked at again");
+    assert!(sent(&actions).is_none() && !answered(&actions));
+    assert!(after <= SECOND / 2, "{after}");
+    node.now += after;
+    let refused = node.timer(token);
+    assert!(
+        matches!(refused[..], [Action::Refuse { id: RequestId(id), .. }] if id == last + 1),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn one_looked_at_before_its_time_is_looked_at_again() {
+    let (mut node, last) = jammed();
+    let (_, token) = timer(&node.read(last + 1, "late")).unwrap();
+    node.now += SECOND / 4;
+    let (after, again) = timer(&node.timer(token)).expect("another look");
+    assert_eq!((after, again), (SECOND / 4, token));
+    node.now += after;
+    assert!(answered(&node.timer(token)));
+}
+
+#[test]
+fn the_queue_is_bounded_and_who_has_waited_for_longest_goes_at_once() {
+    let (mut node, last) = jammed();
+    let refused: Vec<RequestId> = (last + 1..last + 40)
+        .flat_map(|id| node.read(id, &format!("late-{id}")))
+        .filter_map(|action| match action {
+            Action::Refuse { id, .. } => Some(id),
+            _ => None,
+        })
+        .collect();
+    assert!(refused.len() > 20, "{} refused", refused.len());
+    assert!(refused.iter().take(20).zip(refused.iter().skip(1)).all(|(a, b)| a < b), "{refused:?}");
+}
