--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -21,6 +21,8 @@
 pub const CALLERS: usize = 8;
 /// The longest call.
 const LINE: u64 = 256;
+/// After the answer so much more is read and thrown away.
+const READ_AWAY: u64 = 64 << 10;
 /// Who has not said a whole line after so long is dropped, and so is who doesn't read the answer.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// After a bind or an accept that failed.
@@ -141,5 +143,7 @@
     };
     answer.push('\n');
     stream.get_mut().write_all(answer.as_bytes()).await?;
-    stream.get_mut().shutdown().await
+    stream.get_mut().shutdown().await?;
+    // Guards against: an answer lost to the reset that unread bytes bring.
+    tokio::io::copy(&mut stream.take(READ_AWAY), &mut tokio::io::sink()).await.map(drop)
 }
