--- a/src/api.rs
+++ b/src/api.rs
@@ -317,6 +317,16 @@
     ClientGone(RequestId),
     /// A timer is due.
     Timer(TimerToken),
+    /// Operators take a server out of use, whatever the list says, until they put it back. It need not be
+    /// listed; said twice it means the same.
+    Disable(ServerId),
+    /// Operators put a server back, which they may have restarted meanwhile.
+    Enable {
+        /// The server.
+        server: ServerId,
+        /// Since when it may be used; it counts as cold from then.
+        since: Micros,
+    },
 }
 
 /// What the embedder must do, in order.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 //! read go to the origin. All else are exceptions, each with what it guards against. Every send passes
 //! `send`, every final answer `finish`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -54,6 +54,9 @@
     rng: fastrand::Rng,
     now: Micros,
     servers: BTreeMap<ServerId, Server>,
+    /// Those out by hand, listed or not, and since when others are back.
+    banned: BTreeSet<ServerId>,
+    returned: BTreeMap<ServerId, Micros>,
     origin: Option<ServerId>,
     caches: usize, // how many caches are up
     open: HashMap<RequestId, Open>,
@@ -82,6 +85,8 @@
             rng: fastrand::Rng::with_seed(seed),
             now,
             servers: BTreeMap::new(),
+            banned: BTreeSet::new(),
+            returned: BTreeMap::new(),
             origin: None,
             caches: 0,
             open: HashMap::new(),
@@ -123,6 +128,8 @@
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
             Event::Timer(IDLE_TIMER) => self.thin_out(out),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
+            Event::Disable(server) => self.disable(server, out),
+            Event::Enable { server, since } => self.enable(server, since),
         }
     }
 
@@ -144,16 +151,22 @@
         for mut member in members {
             let steady = self.settings.steady_weights && member.weight.is_finite();
             member.weight = if steady && member.weight > 0.0 { member.weight } else { 1.0 };
-            let cold_since = member.started.filter(|&t| self.now.saturating_sub(t) < self.settings.cold);
+            let cold_since = self.cold_since(&member);
             let server =
                 self.servers.entry(member.id).or_insert_with(|| Server::new(member.clone(), self.now));
             if server.cold_since != cold_since {
                 // Cold and innocent again. Guards against: hundreds of nodes whose allowances grow in step.
                 server.restart(cold_since, self.now, self.rng.f64());
             }
+            server.banned = self.banned.contains(&member.id);
             server.member = member;
         }
         self.servers.retain(|_, s| s.member.state != MemberState::Removed || !s.out.is_empty());
+        self.take_stock();
+    }
+
+    /// What follows from which servers there are.
+    fn take_stock(&mut self) {
         self.origin = self.servers.values().find(|s| s.is_origin()).map(|s| s.member.id);
         let caches = || self.servers.values().filter(|s| s.is_cache());
         self.caches = caches().count();
@@ -369,7 +382,7 @@
         if r.settled || r.streaming || late || r.tries.len() >= self.settings.max_attempts {
             return false; // nothing goes out after the end
         }
-        if s.member.state != MemberState::Up || r.outstanding() > 0 && !self.may_copy(r) {
+        if !s.in_service() || r.outstanding() > 0 && !self.may_copy(r) {
             return false; // drains are kept from the moment they are told, and writes have no copy
         }
         let mut ran = r.tries.iter().filter(|t| t.out || t.may_have_run);
--- a/src/health.rs
+++ b/src/health.rs
@@ -108,6 +108,47 @@
         }
     }
 
+    /// Out of use until it is put back; attempts that are out there run on.
+    pub(super) fn disable(&mut self, server: ServerId, out: &mut Vec<Action>) {
+        self.returned.remove(&server);
+        if !self.banned.insert(server) {
+            return;
+        }
+        if let Some(s) = self.servers.get_mut(&server) {
+            (s.banned, s.idle_since) = (true, None);
+            out.push(Action::Disconnect(server));
+        }
+        self.take_stock();
+    }
+
+    /// Back in use, and cold: whoever took it out may have restarted it, and the list tells that late.
+    pub(super) fn enable(&mut self, server: ServerId, since: Micros) {
+        self.banned.remove(&server);
+        self.returned.retain(|_, t| self.now.saturating_sub(*t) < self.settings.cold);
+        self.returned.insert(server, since.min(self.now));
+        let saved = self.rng.f64();
+        let cold_since = self.servers.get(&server).and_then(|s| self.cold_since(&s.member));
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.banned = false;
+            s.restart(cold_since, self.now, saved);
+        }
+        self.take_stock();
+    }
+
+    /// Since when a server is cold: its start as the list tells it, or its return. Nothing once it is warm.
+    pub(super) fn cold_since(&self, member: &Member) -> Option<Micros> {
+        let since = member.started.max(self.returned.get(&member.id).copied())?;
+        (self.now.saturating_sub(since) < self.settings.cold).then_some(since)
+    }
+
+    /// How many caches the list holds, and how many of them get nothing now, by hand or by choice.
+    pub fn stock(&self) -> (usize, usize) {
+        let caches = || self.servers.values().filter(|s| !s.member.origin);
+        let listed = || caches().filter(|s| s.member.state != MemberState::Removed);
+        let avoided = |s: &&Server| s.banned || self.suspect(s) || self.cut_off(s);
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// Silent, or holding an attempt of ours that is long overdue.
     pub(super) fn suspect(&self, s: &Server) -> bool {
         s.silent >= 2 || s.out.first().is_some_and(|o| o.0 <= self.now)
--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -1,7 +1,7 @@
 //! The servers that discovery has named: their ids for the module, addresses and idle connections.
 
 use std::borrow::Cow;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,6 +21,11 @@
 /// meets the next request when that follows at once.
 const REST: Duration = Duration::from_millis(1);
 
+/// Names that are known after they have left the list.
+///
+/// Guards against: an order for a server that has died and will be back, taken for a slip of the pen.
+const REMEMBERED: usize = 256;
+
 /// Whether a server may be sent anything new; shared with the attempts under way.
 #[derive(Clone)]
 pub struct Standing(Arc<AtomicBool>);
@@ -35,6 +40,8 @@
     name: String,
     addr: SocketAddr,
     origin: bool,
+    /// Whether the list says that it serves.
+    up: bool,
     standing: Standing,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, Connection)>,
@@ -50,13 +57,18 @@
 /// The servers by id.
 pub struct Directory {
     servers: HashMap<ServerId, Server>,
+    /// Servers out by hand, listed or not: their ids are theirs.
+    banned: HashMap<ServerId, String>,
+    /// Names that have left the list, the latest last.
+    gone: VecDeque<String>,
     /// An idle connection is closed at this age: before the server does it.
     idle_limit: Duration,
 }
 
 impl Directory {
     pub fn new(keepalive: Duration) -> Self {
-        Directory { servers: HashMap::new(), idle_limit: keepalive * 9 / 10 }
+        let (servers, banned, gone) = Default::default();
+        Directory { servers, banned, gone, idle_limit: keepalive * 9 / 10 }
     }
 
     /// Takes over a list; tells the module's view of its entries.
@@ -66,7 +78,13 @@
         if list.full {
             let names = &list.servers;
             let listed = |name: &String| names.binary_search_by(|e| e.id.cmp(name)).is_ok();
-            self.servers.retain(|_, server| listed(&server.name) || server.close());
+            let (gone, banned) = (&mut self.gone, &self.banned);
+            self.servers.retain(|id, server| {
+                listed(&server.name) || {
+                    server.close();
+                    note_gone(gone, &server.name, banned.contains_key(id))
+                }
+            });
         }
         list.servers.into_iter().map(|entry| self.enter(entry, setup)).collect()
     }
@@ -83,6 +101,7 @@
             name: entry.id,
             addr: entry.addr,
             origin,
+            up: true,
             standing: Standing(Arc::new(AtomicBool::new(true))),
             idle: Vec::new(),
         });
@@ -91,12 +110,12 @@
             server.addr = entry.addr;
             server.idle.clear();
         }
-        server.standing.0.store(state == MemberState::Up, Ordering::Relaxed);
-        if state != MemberState::Up {
-            server.idle.clear();
-        }
-        if state == MemberState::Removed {
-            self.servers.remove(&id);
+        server.up = state == MemberState::Up;
+        server.stand(self.banned.contains_key(&id));
+        if state == MemberState::Removed
+            && let Some(server) = self.servers.remove(&id)
+        {
+            note_gone(&mut self.gone, &server.name, self.banned.contains_key(&id));
         }
         Member {
             id,
@@ -113,10 +132,31 @@
     /// The id of a name, which is the same at every node: a hash, and the next one where two names share it.
     fn id_of(&self, name: &str) -> ServerId {
         let ids = (0..).map(|seed| ServerId(xxh3_64_with_seed(name.as_bytes(), seed) as u32));
-        let mut free = ids.filter(|id| self.servers.get(id).is_none_or(|server| server.name == name));
+        let listed = |id: &ServerId| self.servers.get(id).map(|server| &server.name);
+        let taken = |id: &ServerId| listed(id).or(self.banned.get(id)).is_some_and(|other| other != name);
+        let mut free = ids.filter(|id| !taken(id));
         free.next().expect("the ids outnumber the servers")
     }
 
+    /// Whether this is the name of a server that is listed, was listed lately, or is out by hand.
+    pub fn knows(&self, name: &str) -> bool {
+        let listed = self.servers.values().map(|server| &server.name);
+        listed.chain(self.banned.values()).chain(&self.gone).any(|known| known == name)
+    }
+
+    /// Takes a server out of use, or puts it back; tells its id.
+    pub fn ban(&mut self, name: &str, out: bool) -> ServerId {
+        let id = self.id_of(name);
+        match out {
+            true => _ = self.banned.insert(id, name.to_owned()),
+            false => _ = self.banned.remove(&id),
+        }
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.stand(out);
+        }
+        id
+    }
+
     /// Where to send to a server, and the connection to use, if one is at hand.
     pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<Connection>)> {
         let limit = self.idle_limit;
@@ -170,9 +210,28 @@
 }
 
 impl Server {
-    /// Gone: attempts under way send nothing more. Returns false, to drop it.
-    fn close(&self) -> bool {
+    /// Gone: attempts under way send nothing more.
+    fn close(&self) {
         self.standing.0.store(false, Ordering::Relaxed);
-        false
     }
+
+    /// Takes new requests if it serves and nobody took it out.
+    fn stand(&mut self, banned: bool) {
+        let serving = self.up && !banned;
+        self.standing.0.store(serving, Ordering::Relaxed);
+        if !serving {
+            self.idle.clear();
+        }
+    }
+}
+
+/// Remembers a name that has left the list, unless a ban does. Returns false, for what is dropped with it.
+fn note_gone(gone: &mut VecDeque<String>, name: &str, banned: bool) -> bool {
+    if !banned && !gone.iter().any(|known| known == name) {
+        gone.push_back(name.to_owned());
+        if gone.len() > REMEMBERED {
+            gone.pop_front();
+        }
+    }
+    false
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use stonefold::setup::Setup;
+use stonefold::setup::{Setup, micros};
 use stonefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
@@ -21,6 +21,8 @@
 use super::config::Config;
 use super::directory::{Directory, Target};
 use super::discovery::List;
+use super::log;
+use super::state::Orders;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
 const ON_THE_WAY: Micros = 5_000;
@@ -45,6 +47,10 @@
 pub enum Control {
     /// The process ends at this time: what comes from now on has to be answered by then.
     Stopping(Instant),
+    /// Whether there is a server of this name.
+    Known(String, oneshot::Sender<bool>),
+    /// The orders for servers, as they are now. The sender is told once they are in force.
+    Orders(Orders, Option<oneshot::Sender<()>>),
 }
 
 /// A client's request.
@@ -103,6 +109,17 @@
     }
 }
 
+/// How the driver hangs together with the other parts.
+pub struct Wiring {
+    /// How many connections to servers there are, for the clients' side.
+    pub held: Arc<AtomicUsize>,
+    /// Told when the list is to be subscribed to.
+    pub subscribe: Arc<Notify>,
+    pub to_self: UnboundedSender<Message>,
+    pub inbox: UnboundedReceiver<Message>,
+    pub control: Receiver<Control>,
+}
+
 /// Carries out what the module decides, and tells it what happens.
 pub struct Driver {
     balancer: Balancer,
@@ -125,19 +142,13 @@
     control: Receiver<Control>,
     /// When the process ends, once that is known.
     ends: Option<Instant>,
+    orders: Orders,
 }
 
 impl Driver {
     /// A driver that holds so many connections to servers at most.
-    pub fn new(
-        config: Config,
-        connections: usize,
-        held: Arc<AtomicUsize>,
-        subscribe: Arc<Notify>,
-        to_self: UnboundedSender<Message>,
-        inbox: UnboundedReceiver<Message>,
-        control: Receiver<Control>,
-    ) -> Self {
+    pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
+        let Wiring { held, subscribe, to_self, inbox, control } = wiring;
         let (clock, settings) = (Clock::new(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive));
         let mut driver = Driver {
@@ -157,8 +168,10 @@
             inbox,
             control,
             ends: None,
+            orders: Orders::new(),
         };
         driver.timers.insert(Due::Sweep, SWEEP);
+        driver.obey(orders);
         driver.list(List { full: true, ..config.known });
         driver.decide();
         driver
@@ -183,7 +196,33 @@
     fn directed(&mut self, control: Control) {
         match control {
             Control::Stopping(at) => self.ends = Some(at),
+            // Who asked may have left.
+            Control::Known(name, answer) => _ = answer.send(self.directory.knows(&name)),
+            Control::Orders(orders, done) => {
+                self.obey(orders);
+                self.decide();
+                let _ = done.map(|done| done.send(()));
+            }
+        }
+    }
+
+    /// Brings into force what differs from the orders so far.
+    fn obey(&mut self, orders: Orders) {
+        for (name, order) in &orders {
+            let before = self.orders.get(name);
+            if before == Some(order) {
+                continue;
+            }
+            // An order that was never seen in between took the server out and put it back.
+            let server = self.directory.ban(name, order.out);
+            let event = match order.out {
+                true => Event::Disable(server),
+                false => Event::Enable { server, since: micros(order.since_ms as f64) },
+            };
+            log(format_args!("{name} is {} by hand", if order.out { "out" } else { "back" }));
+            self.events.push_back(event);
         }
+        self.orders = orders;
     }
 
     fn told(&mut self, message: Message) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod origin;
 mod resp;
 mod seats;
+mod state;
 
 use std::fmt;
 use std::io::{self, Write};
@@ -21,19 +22,24 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
 use config::Config;
-use driver::{Control, Driver};
+use driver::{Control, Driver, Wiring};
 use operator::Call;
+use state::{Order, Orders, StateError, Store};
 
 /// After word to stop, connections that were on their way are still taken for so long, unless a successor has
 /// them.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// A new connection's first request may be on its way for so long; it is not closed before.
 const FIRST_REQUEST: Duration = Duration::from_millis(500);
+/// How often the orders are looked at: a call to one process binds the other well within the grace.
+const ORDERS: Duration = Duration::from_millis(100);
+/// The driver's answer to an operator's question is waited for so long; the operator waits for a second.
+const IN_TIME: Duration = Duration::from_millis(400);
 /// Directions that may wait for the driver.
 const CONTROLS: usize = 16;
 /// What was taken is answered within the longest deadline, of which the platform grants so much ...
@@ -58,11 +64,20 @@
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
     let classes = config.setup.class_names();
     let (control, directions) = mpsc::channel(CONTROLS);
+    let store = Arc::new(Store::of_node());
+    store.changed();
+    let orders = store.load().unwrap_or_else(|error| {
+        log(format_args!("orders: {error}; none are in force"));
+        Orders::new()
+    });
+    tokio::spawn(follow_orders(store.clone(), control.clone()));
     let serving = Arc::new(AtomicBool::new(false));
     if let Some(at) = config.operator {
-        operator::start(at, Desk { serving: serving.clone() })?;
+        let desk = Desk { serving: serving.clone(), control: control.clone(), store };
+        operator::start(at, desk)?;
     }
-    let driver = Driver::new(config, servers_limit, to_servers, subscribe, sender.clone(), inbox, directions);
+    let wiring = Wiring { held: to_servers, subscribe, to_self: sender.clone(), inbox, control: directions };
+    let driver = Driver::new(config, servers_limit, wiring, orders);
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
     tokio::spawn(follow_configuration(reload, new_address));
@@ -101,6 +116,53 @@
 struct Desk {
     /// Whether clients' connections are taken.
     serving: Arc<AtomicBool>,
+    control: mpsc::Sender<Control>,
+    store: Arc<Store>,
+}
+
+/// Why an order is not carried out.
+#[derive(Debug)]
+enum OrderError {
+    Unknown(String),
+    NotKept(StateError),
+    Busy,
+}
+
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderError::Unknown(id) => write!(f, "no server {id}"),
+            OrderError::NotKept(error) => write!(f, "cannot keep the order: {error}"),
+            OrderError::Busy => write!(f, "the node does not answer"),
+        }
+    }
+}
+
+impl Desk {
+    /// Takes a server out of use or puts it back. Once this returns, the order is kept and in force.
+    async fn order(&self, id: String, out: bool) -> Result<(), OrderError> {
+        let known = self.tell(|answer| Control::Known(id.clone(), answer)).await?;
+        if !known {
+            return Err(OrderError::Unknown(id));
+        }
+        let change = |orders: &mut Orders| match orders.get(&id) {
+            Some(order) if order.out == out => {} // said before: it stands as it was
+            None if !out => {}
+            _ => _ = orders.insert(id.clone(), Order { out, since_ms: state::now_ms() }),
+        };
+        let orders = self.store.change(change).map_err(OrderError::NotKept)?;
+        self.tell(|done| Control::Orders(orders, Some(done))).await
+    }
+
+    /// Tells the driver something, and waits for its answer as long as an operator may wait for ours.
+    async fn tell<T>(&self, control: impl FnOnce(oneshot::Sender<T>) -> Control) -> Result<T, OrderError> {
+        let (sender, answer) = oneshot::channel();
+        let told = async {
+            self.control.send(control(sender)).await.ok()?;
+            answer.await.ok()
+        };
+        timeout(IN_TIME, told).await.ok().flatten().ok_or(OrderError::Busy)
+    }
 }
 
 impl operator::Desk for Desk {
@@ -108,6 +170,28 @@
         match call {
             Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
             Call::Ready => "fail not serving".into(),
+            Call::Disable(id) => said(self.order(id, true).await),
+            Call::Enable(id) => said(self.order(id, false).await),
+        }
+    }
+}
+
+fn said(done: Result<(), OrderError>) -> String {
+    match done {
+        Ok(()) => "ok".into(),
+        Err(error) => format!("fail {error}"),
+    }
+}
+
+/// Takes over what other processes of this node were ordered.
+async fn follow_orders(store: Arc<Store>, control: mpsc::Sender<Control>) {
+    loop {
+        sleep(ORDERS).await;
+        if store.changed() {
+            match store.load() {
+                Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
+                Err(error) => log(format_args!("orders: {error}; those in force stay")),
+            }
         }
     }
 }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -32,6 +32,10 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum Call {
     Ready,
+    /// Nothing more to this server.
+    Disable(String),
+    /// Back in use.
+    Enable(String),
 }
 
 /// Why a line is no call.
@@ -70,7 +74,9 @@
         match words[..] {
             [] => Err(CallError::Empty),
             ["READY"] => Ok(Call::Ready),
-            ["READY", ..] => Err(CallError::Arguments),
+            ["DISABLE", id] => Ok(Call::Disable(id.into())),
+            ["ENABLE", id] => Ok(Call::Enable(id.into())),
+            ["READY" | "DISABLE" | "ENABLE", ..] => Err(CallError::Arguments),
             _ => Err(CallError::Unknown),
         }
     }
--- /dev/null
+++ b/src/node/state.rs
@@ -0,0 +1,229 @@
+//! What outlives a process: the orders that operators gave for servers.
+//!
+//! Everything beyond this module sees [`Store::load`], [`Store::change`] and [`Store::changed`]; where the
+//! orders are kept is this module's alone. Today that is a small file which all processes of a node share.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::SystemTime;
+use std::{env, fmt};
+
+use serde::{Deserialize, Serialize};
+
+/// The form of the file. One of another version is not read.
+const VERSION: u32 = 1;
+/// An order that put a server back is forgotten after this time, in ms: it is warm by then.
+const REMEMBERED: u64 = 600_000;
+
+/// What operators ordered for one server.
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// Out of use, or back.
+    pub out: bool,
+    /// Since when, in ms of Unix time.
+    pub since_ms: u64,
+}
+
+/// The orders in force, by the servers' ids.
+pub type Orders = BTreeMap<String, Order>;
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Kept {
+    version: u32,
+    servers: Orders,
+}
+
+/// Why orders can't be kept or read.
+#[derive(Debug)]
+pub enum StateError {
+    /// There is no `$TMPDIR` to keep them in.
+    NoPlace,
+    Io(PathBuf, io::Error),
+    Damaged(PathBuf, serde_json::Error),
+    Version(PathBuf, u32),
+}
+
+impl fmt::Display for StateError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StateError::NoPlace => write!(f, "no TMPDIR to keep orders in"),
+            StateError::Io(path, error) => write!(f, "{}: {error}", path.display()),
+            StateError::Damaged(path, error) => write!(f, "{} is damaged: {error}", path.display()),
+            StateError::Version(path, found) => {
+                write!(f, "{} is of version {found}, not {VERSION}", path.display())
+            }
+        }
+    }
+}
+
+impl std::error::Error for StateError {}
+
+impl StateError {
+    /// Whether what is kept can't be read and never will be.
+    fn is_lasting(&self) -> bool {
+        matches!(self, StateError::Damaged(..) | StateError::Version(..))
+    }
+}
+
+/// When the file was last written, as far as its name and times tell.
+#[derive(Clone, PartialEq, Eq, Debug)]
+struct Stamp(SystemTime, u64, u64);
+
+/// Where orders are kept.
+pub struct Store {
+    dir: Option<PathBuf>,
+    seen: Mutex<Option<Stamp>>,
+    /// The orders as they were last read or written.
+    last: Mutex<Orders>,
+}
+
+impl Store {
+    /// The store of this node: in `$TMPDIR`, which all its processes share.
+    pub fn of_node() -> Store {
+        Store::at(env::var_os("TMPDIR").map(PathBuf::from))
+    }
+
+    fn at(dir: Option<PathBuf>) -> Store {
+        Store { dir, seen: Mutex::default(), last: Mutex::default() }
+    }
+
+    fn dir(&self) -> Result<&Path, StateError> {
+        self.dir.as_deref().ok_or(StateError::NoPlace)
+    }
+
+    fn last(&self) -> MutexGuard<'_, Orders> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn path(dir: &Path) -> PathBuf {
+        dir.join("stonefold-orders.json")
+    }
+
+    /// The orders as they are kept now; none where nothing was ever kept.
+    pub fn load(&self) -> Result<Orders, StateError> {
+        let Some(dir) = &self.dir else { return Ok(Orders::new()) };
+        let path = Self::path(dir);
+        let text = match fs::read(&path) {
+            Ok(text) => text,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Orders::new()),
+            Err(error) => return Err(StateError::Io(path, error)),
+        };
+        match serde_json::from_slice::<Kept>(&text) {
+            Ok(kept) if kept.version == VERSION => {
+                self.last().clone_from(&kept.servers);
+                Ok(kept.servers)
+            }
+            Ok(kept) => Err(StateError::Version(path, kept.version)),
+            Err(error) => Err(StateError::Damaged(path, error)),
+        }
+    }
+
+    /// Changes the orders, durably; tells them as they are then. What is kept and can't be read is set aside,
+    /// and the orders as this store last saw them take its place.
+    pub fn change(&self, change: impl FnOnce(&mut Orders)) -> Result<Orders, StateError> {
+        let dir = self.dir()?;
+        let path = Self::path(dir);
+        let failed = |error| StateError::Io(path.clone(), error);
+        // Guards against: two processes that change it at the same time, of which one order would be lost.
+        let lock = OpenOptions::new().create(true).append(true).open(path.with_extension("lock"));
+        let lock = lock.map_err(failed)?;
+        lock.lock().map_err(failed)?;
+        let mut orders = match self.load() {
+            Err(error) if error.is_lasting() => {
+                fs::rename(&path, path.with_extension("damaged")).map_err(failed)?;
+                self.last().clone()
+            }
+            read => read?,
+        };
+        change(&mut orders);
+        let now = now_ms();
+        orders.retain(|_, order| order.out || now.saturating_sub(order.since_ms) < REMEMBERED);
+        let kept = Kept { version: VERSION, servers: orders };
+        let new = path.with_extension("new");
+        let mut file = File::create(&new).map_err(failed)?;
+        serde_json::to_writer(&mut file, &kept).map_err(|e| failed(e.into()))?;
+        file.flush().and_then(|()| file.sync_all()).map_err(failed)?;
+        fs::rename(&new, &path).map_err(failed)?;
+        self.last().clone_from(&kept.servers);
+        Ok(kept.servers)
+    }
+
+    /// Whether the orders may have changed since this was last asked.
+    pub fn changed(&self) -> bool {
+        use std::os::unix::fs::MetadataExt;
+        let meta = self.dir.as_deref().and_then(|dir| fs::metadata(Self::path(dir)).ok());
+        let stamp = meta.and_then(|m| Some(Stamp(m.modified().ok()?, m.ino(), m.len())));
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = stamp != *seen;
+        *seen = stamp;
+        changed
+    }
+}
+
+/// Unix time in ms.
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn store(dir: &tempfile::TempDir) -> Store {
+        Store::at(Some(dir.path().into()))
+    }
+
+    fn out(orders: &mut Orders, id: &str) {
+        orders.insert(id.into(), Order { out: true, since_ms: now_ms() });
+    }
+
+    #[test]
+    fn what_one_process_keeps_another_finds() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, new) = (store(&dir), store(&dir));
+        assert_eq!(new.load().unwrap(), Orders::new());
+        assert!(!new.changed());
+        old.change(|orders| out(orders, "s-1")).unwrap();
+        assert!(new.changed() && !new.changed());
+        new.change(|orders| out(orders, "s-2")).unwrap();
+        let both = old.load().unwrap();
+        assert_eq!(both.keys().collect::<Vec<_>>(), ["s-1", "s-2"]);
+    }
+
+    #[test]
+    fn a_damaged_file_is_told_set_aside_and_written_anew() {
+        for text in ["", "{", "[]", r#"{"version":2,"servers":{}}"#, r#"{"version":1}"#, "\u{0}\u{0}"] {
+            let dir = tempfile::tempdir().unwrap();
+            let store = store(&dir);
+            store.change(|orders| out(orders, "s-1")).unwrap();
+            fs::write(Store::path(dir.path()), text).unwrap();
+            assert!(store.load().is_err(), "{text:?}");
+            let orders = store.change(|orders| out(orders, "s-2")).unwrap();
+            assert_eq!(orders.len(), 2);
+            assert_eq!(store.load().unwrap(), orders);
+            assert_eq!(fs::read_to_string(dir.path().join("stonefold-orders.damaged")).unwrap(), text);
+        }
+    }
+
+    #[test]
+    fn without_a_place_nothing_is_promised() {
+        let store = Store::at(None);
+        assert!(matches!(store.change(|_| {}), Err(StateError::NoPlace)));
+    }
+
+    #[test]
+    fn bans_are_kept_for_good_and_old_returns_forgotten() {
+        let dir = tempfile::tempdir().unwrap();
+        let orders = store(&dir).change(|orders| {
+            for (id, out) in [("out", true), ("back", false)] {
+                orders.insert(id.into(), Order { out, since_ms: 0 });
+            }
+        });
+        assert_eq!(orders.unwrap().into_keys().collect::<Vec<_>>(), ["out"]);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,8 @@
 
 pub(crate) struct Server {
     pub member: Member,
+    /// Taken out of use by hand.
+    pub banned: bool,
     /// When it last started cold, as far as we know.
     pub cold_since: Option<Micros>,
     /// Our attempts out there, by the time from which each is a sign of trouble.
@@ -184,6 +186,7 @@
     pub fn new(member: Member, now: Micros) -> Self {
         Server {
             member,
+            banned: false,
             cold_since: None,
             out: BTreeSet::new(),
             lost: BTreeSet::new(),
@@ -217,11 +220,15 @@
     }
     /// The origin, in service.
     pub fn is_origin(&self) -> bool {
-        self.member.state == MemberState::Up && self.member.origin
+        self.in_service() && self.member.origin
     }
     /// In service, and not the origin.
     pub fn is_cache(&self) -> bool {
-        self.member.state == MemberState::Up && !self.member.origin
+        self.in_service() && !self.member.origin
+    }
+    /// Up, and not taken out by hand.
+    pub fn in_service(&self) -> bool {
+        self.member.state == MemberState::Up && !self.banned
     }
 }
 
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -138,3 +138,91 @@
         assert_eq!(told.lines().count(), 1, "{told}");
     }
 }
+
+// ---- servers out by hand ----
+
+/// A read under this id.
+fn send(client: &mut Client, key: &str, id: &str) {
+    client.send(&["CACHE.GET", key, id, "c=read,d=15000"]);
+}
+
+#[test]
+fn a_server_out_by_hand_gets_nothing_in_either_process_and_in_none_to_come() {
+    let (spare, scene) = (Fake::cache(), Scene::new());
+    let known = list(41, &[(CACHE, scene.cache.addr), ("s-spare", spare.addr)], scene.origin.addr);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    let start = || {
+        let passed = Some(&listener);
+        Start { operator: true, passed, shared: Some(dir.path()), ..Start::new(&known, scene.discovery.addr) }
+    };
+    let old = start().node();
+    assert!(old.call("DISABLE s-nobody\n").starts_with("fail "));
+    assert!(old.call("ENABLE s-nobody\n").starts_with("fail "));
+    assert!(old.call("DISABLE\n").starts_with("fail "));
+    assert_eq!(old.call(format!("DISABLE {CACHE}\n")), "ok\n");
+    assert_eq!(old.call(format!("DISABLE {CACHE}\n")), "ok\n");
+    let mut client = old.client();
+    for n in 0..40 {
+        send(&mut client, &format!("k{n}"), "i");
+        spare.call().value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+    }
+    assert!(scene.cache.called().is_none());
+    // The successor knows of it from its start, and one call to it is enough for both.
+    let new = start().node();
+    assert_eq!(new.call(format!("ENABLE {CACHE}\n")), "ok\n");
+    assert_eq!(new.call("DISABLE s-spare\n"), "ok\n");
+    // Once the old process has taken both orders over, it sends the one that is back what it may.
+    let mut n = 0;
+    let call = loop {
+        n += 1;
+        send(&mut client, &format!("l{n}"), "i");
+        let call = loop {
+            if let Some(call) = scene.cache.called() {
+                break Some(call);
+            }
+            if let Some(call) = spare.called() {
+                call.value("v");
+                break None;
+            }
+            if let Some(call) = scene.origin.called() {
+                call.http("200 OK", "v"); // it is cold, and spared most
+                break None;
+            }
+        };
+        match call {
+            Some(call) => break call,
+            None => assert_eq!(client.answer().as_deref(), Some("v")),
+        }
+    };
+    call.value("back");
+    assert_eq!(client.answer().as_deref(), Some("back"));
+}
+
+#[test]
+fn a_damaged_state_file_is_reported_and_the_node_serves_and_takes_orders() {
+    let scene = Scene::new();
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::write(dir.path().join("stonefold-orders.json"), "{\"version\":1,").unwrap();
+    let known = scene.known();
+    let start =
+        || Start { operator: true, shared: Some(dir.path()), ..Start::new(&known, scene.discovery.addr) };
+    let node = start().node();
+    assert_eq!(node.call(format!("DISABLE {CACHE}\n")), "ok\n");
+    drop(node);
+    // After a restart the ban holds: the read goes to the origin.
+    let node = start().node();
+    let mut client = node.client();
+    send(&mut client, "k", "i");
+    scene.origin.call().http("200 OK", "v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert!(scene.cache.called().is_none());
+}
+
+#[test]
+fn an_order_that_cannot_be_kept_is_a_no() {
+    let scene = Scene::new();
+    let node = scene.node(); // which has no TMPDIR
+    assert!(node.call(format!("DISABLE {CACHE}\n")).starts_with("fail cannot keep the order"));
+}
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,7 +2,7 @@
 //! statement of the rules. The world below is a list of what is due, not a model of servers.
 
 mod common;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use common::SECOND;
 use stonefold::*;
@@ -37,6 +37,7 @@
     asked: HashMap<RequestId, Asked>,
     /// What the module was told of each server, and when it last came up.
     listed: BTreeMap<ServerId, Member>,
+    banned: BTreeSet<ServerId>,
     answers: usize,
     repeats: usize,
     timers: usize,
@@ -80,6 +81,7 @@
             count: 0,
             asked: HashMap::new(),
             listed: BTreeMap::new(),
+            banned: BTreeSet::new(),
             answers: 0,
             repeats: 0,
             timers: 0,
@@ -151,6 +153,7 @@
         assert!(asked.attempts.len() < self.settings.max_attempts);
         let to = &self.listed[&server];
         assert_eq!(to.state, MemberState::Up, "drains are kept at once");
+        assert!(!self.banned.contains(&server), "bans are kept at once");
         let aside = self.settings.mode == Mode::Aside;
         assert!(!(aside && asked.write) || to.origin, "writes go to the origin");
         let out = asked.attempts.iter().filter(|a| a.end.is_none()).count();
@@ -274,6 +277,16 @@
                         self.tell(Event::ClientGone(id));
                     }
                 }
+                5 => {
+                    let server = ServerId(self.rng.u32(..8));
+                    self.banned.insert(server);
+                    self.tell(Event::Disable(server));
+                }
+                6 => {
+                    let server = ServerId(self.rng.u32(..8));
+                    self.banned.remove(&server);
+                    self.tell(Event::Enable { server, since: self.now });
+                }
                 _ => {}
             }
             self.ask(RequestId(n));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -533,3 +533,60 @@
     assert!(refused.len() > 20, "{} refused", refused.len());
     assert!(refused.iter().take(20).zip(refused.iter().skip(1)).all(|(a, b)| a < b), "{refused:?}");
 }
+
+// ---- out by hand ----
+
+/// The servers that reads of many keys are sent to.
+fn used(node: &mut Node, from: u32) -> std::collections::BTreeSet<ServerId> {
+    (from..from + 60).map(|n| node.serve(n, &format!("k{n}"), 10_000)).collect()
+}
+
+#[test]
+fn a_server_out_by_hand_gets_nothing_whatever_the_list_says_until_one_call_back() {
+    let mut node = Node::new(settings(Mode::Through), 3);
+    node.warm_up();
+    let out = ServerId(2);
+    node.tell(Event::Disable(out));
+    node.tell(Event::Disable(out));
+    assert!(!used(&mut node, 1000).contains(&out));
+    assert_eq!(node.balancer.stock(), (3, 1));
+    // Delisted, listed anew, and said to have started.
+    node.list(ListScope::Delta, vec![Member { state: MemberState::Removed, ..Member::up(out) }]);
+    let now = node.now;
+    node.list(ListScope::Delta, vec![Member { started: Some(now), ..Member::up(out) }]);
+    assert!(!used(&mut node, 2000).contains(&out));
+    node.list(ListScope::Full, (1..=3).map(|id| Member::up(ServerId(id))).collect());
+    assert!(!used(&mut node, 3000).contains(&out));
+    node.tell(Event::Enable { server: out, since: node.now });
+    node.now += SECOND;
+    assert!(used(&mut node, 4000).contains(&out));
+    assert_eq!(node.balancer.stock(), (3, 0));
+}
+
+#[test]
+fn a_server_put_back_counts_as_cold_though_the_list_says_nothing_of_a_start() {
+    let mut node = Node::new(settings(Mode::Through), 3);
+    node.warm_up();
+    let server = ServerId(2);
+    let share = |node: &mut Node, from: u32| {
+        (from..from + 300).filter(|n| node.serve(*n, &format!("k{n}"), 10_000) == server).count()
+    };
+    let before = share(&mut node, 1000);
+    node.tell(Event::Disable(server));
+    node.tell(Event::Enable { server, since: node.now });
+    let cold = share(&mut node, 1000 + 300);
+    assert!(cold > 0 && cold < before / 2, "{before} before, {cold} after");
+    // A list that knows of no start does not warm it.
+    node.list(ListScope::Full, (1..=3).map(|id| Member::up(ServerId(id))).collect());
+    let still = share(&mut node, 2000);
+    assert!(still < before / 2, "{before} before, {still} after a list");
+}
+
+#[test]
+fn a_server_banned_before_it_was_ever_listed_gets_nothing_once_it_is() {
+    let mut node = Node::new(settings(Mode::Through), 2);
+    node.tell(Event::Disable(ServerId(3)));
+    node.list(ListScope::Delta, vec![Member::up(ServerId(3))]);
+    node.warm_up();
+    assert!(!used(&mut node, 1000).contains(&ServerId(3)));
+}
