--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::clients::Command;
 use super::directory::Target;
+use super::metrics::Figure;
 use super::{caches, origin};
 
 /// A connection to a server, between requests.
@@ -50,6 +51,7 @@
     command: &Command,
     wait: Duration,
     connect_timeout: Duration,
+    written: &Figure,
 ) -> (Reply, Option<Connection>) {
     let connection = match pooled {
         Some(connection) => connection,
@@ -66,11 +68,11 @@
     }
     match connection {
         Connection::Cache(connection) => {
-            let (reply, connection) = connection.ask(command.for_cache(wait)).await;
+            let (reply, connection) = connection.ask(command.for_cache(wait), written).await;
             (reply, connection.map(Connection::Cache))
         }
         Connection::Origin(connection) => {
-            let (reply, connection) = connection.ask(command, target.addr).await;
+            let (reply, connection) = connection.ask(command, target.addr, written).await;
             (reply, connection.map(Connection::Origin))
         }
     }
--- a/src/node/caches.rs
+++ b/src/node/caches.rs
@@ -12,6 +12,7 @@
 
 use super::attempt::Reply;
 use super::clients::VALUE_LIMIT;
+use super::metrics::Figure;
 use super::resp::{Malformed, next_frame};
 
 /// A value of 64 KiB and what stands round it.
@@ -31,11 +32,12 @@
     }
 
     /// Sends one request and waits for its answer.
-    pub async fn ask(mut self, request: Bytes) -> (Reply, Option<Self>) {
+    pub async fn ask(mut self, request: Bytes, written: &Figure) -> (Reply, Option<Self>) {
         // Broken before the last byte was written: it never ran. After that it may have.
         if self.0.write_all(&request).await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        written.add_one();
         let mut buffer = BytesMut::new();
         loop {
             match next_frame(&mut buffer, LARGEST) {
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -23,6 +23,7 @@
 
 use super::driver::{Arrival, Message};
 use super::log;
+use super::metrics::{InFlight, Metrics};
 use super::resp::{Malformed, next_frame};
 use super::seats::{Guest, Seat, Seats};
 
@@ -238,6 +239,7 @@
     large: Arc<Semaphore>,
     closing: Closing,
     sessions: TaskTracker,
+    metrics: Arc<Metrics>,
 }
 
 impl Clients {
@@ -247,12 +249,26 @@
         classes: HashSet<String>,
         closing: Closing,
         sessions: TaskTracker,
+        metrics: Arc<Metrics>,
     ) -> Self {
         let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
         let seats = Arc::new(Seats::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
         let classes = Arc::new(classes);
-        Clients { to, bounds, classes, seats, left, next_id, open_ids, held, large, closing, sessions }
+        Clients {
+            to,
+            bounds,
+            classes,
+            seats,
+            left,
+            next_id,
+            open_ids,
+            held,
+            large,
+            closing,
+            sessions,
+            metrics,
+        }
     }
 
     /// Takes connections until it is aborted.
@@ -330,6 +346,7 @@
     answer: oneshot::Receiver<Answer>,
     _open_id: OpenId,
     _held: Held,
+    _in_flight: InFlight,
 }
 
 /// An answer that is owed, in the order of the commands.
@@ -549,6 +566,7 @@
         }
         // Guards against: the answer to another client's request, or one for both.
         let open_id = OpenId::take(&command.id, &self.shared.open_ids).ok_or(CommandError::InUse)?;
+        let in_flight = InFlight::new(&self.shared.metrics);
         let held = Held::new(PER_REQUEST + length, &self.shared.held);
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
@@ -557,7 +575,7 @@
         let _ = self.shared.to.send(Message::Arrived(arrival));
         self.open += 1;
         self.asked = true;
-        Ok(Owed::Waiting(Pending { id, answer, _open_id: open_id, _held: held }))
+        Ok(Owed::Waiting(Pending { id, answer, _open_id: open_id, _held: held, _in_flight: in_flight }))
     }
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -22,6 +22,7 @@
 use super::directory::{Directory, Target};
 use super::discovery::List;
 use super::log;
+use super::metrics::{Metrics, Outcomes};
 use super::state::Orders;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -30,6 +31,8 @@
 const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
+/// How often the servers are counted for the figures, which may lag half a second.
+const COUNT: Duration = Duration::from_millis(250);
 
 /// What the driver is told.
 ///
@@ -79,6 +82,8 @@
     answer: Option<oneshot::Sender<Answer>>,
     /// By their numbers; nothing once an attempt has ended.
     attempts: Vec<Option<Running>>,
+    /// Where its end is counted; nowhere for a request of no class.
+    outcomes: Option<Arc<Outcomes>>,
 }
 
 struct Running {
@@ -91,6 +96,7 @@
     Module(TimerToken),
     Attempt(RequestId, usize),
     Sweep,
+    Count,
 }
 
 /// Time since 1970, which never goes back.
@@ -111,6 +117,7 @@
 
 /// How the driver hangs together with the other parts.
 pub struct Wiring {
+    pub metrics: Arc<Metrics>,
     /// How many connections to servers there are, for the clients' side.
     pub held: Arc<AtomicUsize>,
     /// Told when the list is to be subscribed to.
@@ -123,6 +130,7 @@
 /// Carries out what the module decides, and tells it what happens.
 pub struct Driver {
     balancer: Balancer,
+    metrics: Arc<Metrics>,
     setup: Setup,
     clock: Clock,
     directory: Directory,
@@ -148,11 +156,12 @@
 impl Driver {
     /// A driver that holds so many connections to servers at most.
     pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
-        let Wiring { held, subscribe, to_self, inbox, control } = wiring;
+        let Wiring { metrics, held, subscribe, to_self, inbox, control } = wiring;
         let (clock, settings) = (Clock::new(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive));
         let mut driver = Driver {
             balancer: Balancer::new(settings, config.seed, clock.now()),
+            metrics,
             setup: config.setup,
             clock,
             directory,
@@ -171,9 +180,11 @@
             orders: Orders::new(),
         };
         driver.timers.insert(Due::Sweep, SWEEP);
+        driver.timers.insert(Due::Count, COUNT);
         driver.obey(orders);
         driver.list(List { full: true, ..config.known });
         driver.decide();
+        driver.count();
         driver
     }
 
@@ -245,6 +256,10 @@
                 self.directory.sweep(Instant::now());
                 self.timers.insert(Due::Sweep, SWEEP);
             }
+            Due::Count => {
+                self.count();
+                self.timers.insert(Due::Count, COUNT);
+            }
         }
     }
 
@@ -262,8 +277,8 @@
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, Duration::from_micros(timeout)),
             Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Canceled),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Busy(retry_after)),
-            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::Refuse { id, retry_after } => self.end(id, Answer::Busy(retry_after)),
+            Action::Fail(id) => self.end(id, Answer::Failed),
             Action::SetTimer { after, token } => {
                 self.timers.insert(Due::Module(token), Duration::from_micros(after).min(LONGEST_TIMER));
             }
@@ -272,6 +287,13 @@
         }
     }
 
+    /// Copies what the module alone knows into the figures.
+    fn count(&self) {
+        let (listed, avoided) = self.balancer.stock();
+        self.metrics.listed.set(listed);
+        self.metrics.avoided.set(avoided);
+    }
+
     fn list(&mut self, list: List) {
         let scope = if list.full { ListScope::Full } else { ListScope::Delta };
         let members = self.directory.apply(list, &mut self.setup);
@@ -291,7 +313,9 @@
             budget: command.wait.min(left).saturating_sub(spent),
             write: command.value.is_some(),
         };
-        let open = Open { command: Arc::new(command), answer: Some(answer), attempts: Vec::new() };
+        let class = command.fact("c").filter(|_| request.class.is_some());
+        let outcomes = class.map(|class| self.metrics.class(class));
+        let open = Open { command: Arc::new(command), answer: Some(answer), attempts: Vec::new(), outcomes };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
@@ -304,12 +328,26 @@
         }
     }
 
+    /// The final answer, after which the request may be done with.
+    fn end(&mut self, id: RequestId, answer: Answer) {
+        self.answer(id, answer);
+        self.close_if_done(id);
+    }
+
     /// The final answer; a second one goes nowhere.
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Some(sender) = open.answer.take() {
+            if let Some(outcomes) = &open.outcomes {
+                let figure = match &answer {
+                    Answer::Served(_) => &outcomes.served,
+                    Answer::Busy(_) => &outcomes.refused,
+                    Answer::Failed => &outcomes.failed,
+                };
+                figure.add_one();
+            }
             let _ = sender.send(answer); // the client may have left
         }
-        self.close_if_done(id);
     }
 
     fn close_if_done(&mut self, id: RequestId) {
@@ -355,9 +393,11 @@
     ) -> AbortHandle {
         let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
         let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
+        let metrics = self.metrics.clone();
         let work = async move {
             let addr = target.addr;
-            let (reply, connection) = attempt::run(target, pooled, &command, wait, connect_timeout).await;
+            let (reply, connection) =
+                attempt::run(target, pooled, &command, wait, connect_timeout, &metrics.calls).await;
             let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
         };
         tokio::spawn(work).abort_handle()
@@ -388,10 +428,8 @@
         }
         let Some(running) = running else { return }; // given up before: a late outcome changes nothing
         self.timers.try_remove(&running.timer);
-        if reply.outcome == Outcome::Ok
-            && let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take())
-        {
-            let _ = sender.send(Answer::Served(reply.value)); // the client may have left
+        if reply.outcome == Outcome::Ok {
+            self.answer(id, Answer::Served(reply.value));
         }
         self.tell_end(id, attempt, reply.outcome, running.sent.elapsed(), reply.hit);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod driver;
 mod handover;
+mod metrics;
 mod operator;
 mod origin;
 mod resp;
@@ -28,6 +29,7 @@
 
 use config::Config;
 use driver::{Control, Driver, Wiring};
+use metrics::Metrics;
 use operator::Call;
 use state::{Order, Orders, StateError, Store};
 
@@ -63,6 +65,8 @@
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
     let classes = config.setup.class_names();
+    let metrics = Arc::new(Metrics::default());
+    classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
     let store = Arc::new(Store::of_node());
     store.changed();
@@ -71,20 +75,29 @@
         Orders::new()
     });
     tokio::spawn(follow_orders(store.clone(), control.clone()));
+    let operator = config.operator;
     let serving = Arc::new(AtomicBool::new(false));
-    if let Some(at) = config.operator {
-        let desk = Desk { serving: serving.clone(), control: control.clone(), store };
+    let wiring = Wiring {
+        metrics: metrics.clone(),
+        held: to_servers,
+        subscribe,
+        to_self: sender.clone(),
+        inbox,
+        control: directions,
+    };
+    let driver = Driver::new(config, servers_limit, wiring, orders);
+    if let Some(at) = operator {
+        let desk =
+            Desk { serving: serving.clone(), control: control.clone(), store, metrics: metrics.clone() };
         operator::start(at, desk)?;
     }
-    let wiring = Wiring { held: to_servers, subscribe, to_self: sender.clone(), inbox, control: directions };
-    let driver = Driver::new(config, servers_limit, wiring, orders);
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
     tokio::spawn(follow_configuration(reload, new_address));
 
     let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone());
+    let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone(), metrics);
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
     tokio::select! {
@@ -118,6 +131,7 @@
     serving: Arc<AtomicBool>,
     control: mpsc::Sender<Control>,
     store: Arc<Store>,
+    metrics: Arc<Metrics>,
 }
 
 /// Why an order is not carried out.
@@ -170,6 +184,7 @@
         match call {
             Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
             Call::Ready => "fail not serving".into(),
+            Call::Stats => self.metrics.text() + "eof",
             Call::Disable(id) => said(self.order(id, true).await),
             Call::Enable(id) => said(self.order(id, false).await),
         }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum Call {
     Ready,
+    /// The figures.
+    Stats,
     /// Nothing more to this server.
     Disable(String),
     /// Back in use.
@@ -74,9 +76,10 @@
         match words[..] {
             [] => Err(CallError::Empty),
             ["READY"] => Ok(Call::Ready),
+            ["STATS"] => Ok(Call::Stats),
             ["DISABLE", id] => Ok(Call::Disable(id.into())),
             ["ENABLE", id] => Ok(Call::Enable(id.into())),
-            ["READY" | "DISABLE" | "ENABLE", ..] => Err(CallError::Arguments),
+            ["READY" | "STATS" | "DISABLE" | "ENABLE", ..] => Err(CallError::Arguments),
             _ => Err(CallError::Unknown),
         }
     }
--- a/src/node/origin.rs
+++ b/src/node/origin.rs
@@ -16,6 +16,7 @@
 
 use super::attempt::Reply;
 use super::clients::{Command, VALUE_LIMIT};
+use super::metrics::Figure;
 
 /// A connection between requests.
 pub struct Connection {
@@ -44,11 +45,18 @@
     }
 
     /// Sends one request and waits for its answer.
-    pub async fn ask(mut self, command: &Command, addr: SocketAddr) -> (Reply, Option<Self>) {
+    pub async fn ask(
+        mut self,
+        command: &Command,
+        addr: SocketAddr,
+        written: &Figure,
+    ) -> (Reply, Option<Self>) {
         let Some(request) = request(command, addr) else { return (Reply::of(Outcome::Ignored), Some(self)) };
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        // The whole request is at hand, and the connection writes it as soon as it has its turn.
+        written.add_one();
         match self.sender.try_send_request(request).await {
             // A request that is handed back was never begun.
             Err(mut error) => match error.take_message() {
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -226,3 +226,65 @@
     let node = scene.node(); // which has no TMPDIR
     assert!(node.call(format!("DISABLE {CACHE}\n")).starts_with("fail cannot keep the order"));
 }
+
+// ---- figures ----
+
+/// A figure by its name and label.
+fn figure(node: &Node, name: &str) -> u64 {
+    let text = node.call("STATS\n");
+    assert!(text.ends_with("\neof\n"), "{text}");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+}
+
+/// Waits until a figure has a value.
+fn await_figure(node: &Node, name: &str, value: u64) {
+    let start = std::time::Instant::now();
+    while figure(node, name) != value {
+        assert!(start.elapsed() < PATIENCE, "{name} is {}, not {value}", figure(node, name));
+    }
+}
+
+#[test]
+fn figures_count_what_happened() {
+    let scene = Scene::new();
+    let node = scene.node();
+    assert_eq!(figure(&node, "svc_success_total{tier=\"read\"}"), 0);
+    assert_eq!(figure(&node, "svc_hosts_listed"), 1);
+    let mut client = node.client();
+    send(&mut client, "k", "i1");
+    let call = scene.cache.call();
+    await_figure(&node, "svc_inflight", 1);
+    await_figure(&node, "svc_backend_calls_total", 1);
+    call.miss();
+    scene.origin.call().http("200 OK", "v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    await_figure(&node, "svc_inflight", 0);
+    assert_eq!(figure(&node, "svc_success_total{tier=\"read\"}"), 1);
+    assert_eq!(figure(&node, "svc_backend_calls_total"), 2);
+    client.set("k", "c=put,d=15000", "on");
+    scene.origin.call().close();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert_eq!(figure(&node, "svc_failure_total{tier=\"put\"}"), 1);
+    client.get("k", "c=read,d=0");
+    assert!(client.answer().unwrap().starts_with("-BUSY"));
+    assert_eq!(figure(&node, "svc_busy_total{tier=\"read\"}"), 1);
+    client.get("k", "c=nobody,d=1900");
+    assert!(client.answer().unwrap().starts_with("-ERR"));
+    assert!(!node.call("STATS\n").contains("nobody"));
+    assert!(node.call("STATS now\n").starts_with("fail "));
+}
+
+#[test]
+fn a_server_out_by_hand_is_counted_as_down_while_it_is_listed() {
+    let scene = Scene::new();
+    let dir = tempfile::tempdir().unwrap();
+    let known = scene.known();
+    let start =
+        Start { operator: true, shared: Some(dir.path()), ..Start::new(&known, scene.discovery.addr) };
+    let node = start.node();
+    assert_eq!(node.call(format!("DISABLE {CACHE}\n")), "ok\n");
+    await_figure(&node, "svc_hosts_down", 1);
+    assert_eq!(node.call(format!("ENABLE {CACHE}\n")), "ok\n");
+    await_figure(&node, "svc_hosts_down", 0);
+}
