--- a/src/api.rs
+++ b/src/api.rs
@@ -317,6 +317,9 @@
     ClientGone(RequestId),
     /// A timer is due.
     Timer(TimerToken),
+    /// New settings. A class or tenant keeps its index, and new ones come behind those before; open requests
+    /// keep the rules of their class and the most attempts.
+    Settings(Box<Settings>),
     /// Operators take a server out of use, whatever the list says, until they put it back. It need not be
     /// listed; said twice it means the same.
     Disable(ServerId),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,11 @@
 const CUT: u32 = 3;
 const LIST_TIMER: TimerToken = TimerToken(u64::MAX);
 
+/// How long a connection of one node may idle.
+fn idle_time(settings: &Settings) -> Micros {
+    (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros
+}
+
 /// Decides for one node; see [`on_event`](Balancer::on_event).
 pub struct Balancer {
     settings: Settings,
@@ -60,7 +65,7 @@
     origin: Option<ServerId>,
     caches: usize, // how many caches are up
     open: HashMap<RequestId, Open>,
-    timings: Vec<Timing>, // response times by class; the last is for requests of no known class
+    timings: Vec<Timing>, // response times by class; the first is for requests of no known class
     arrived: Rate,
     tenants: Vec<Rate>,
     unsized_list: bool,          // the list tells no sizes: all weigh the same
@@ -90,13 +95,13 @@
             origin: None,
             caches: 0,
             open: HashMap::new(),
-            timings: aims.chain([usual]).map(|aim| Timing::guess(aim / 3.0)).collect(),
+            timings: [usual].into_iter().chain(aims).map(|aim| Timing::guess(aim / 3.0)).collect(),
             arrived: Rate::new(now),
             tenants: settings.tenant_shares.iter().map(|_| Rate::new(now)).collect(),
             unsized_list: true,
             zones: BTreeMap::new(),
             kinds: BTreeMap::new(),
-            idle_time: (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros,
+            idle_time: idle_time(&settings),
             copies: 1.0,
             retries: SAVED / 2.0,
             flights: HashMap::new(),
@@ -128,11 +133,23 @@
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
             Event::Timer(IDLE_TIMER) => self.thin_out(out),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
+            Event::Settings(settings) => self.retune(*settings),
             Event::Disable(server) => self.disable(server, out),
             Event::Enable { server, since } => self.enable(server, since),
         }
     }
 
+    /// Goes by new settings; what is learned by class and by tenant stays.
+    fn retune(&mut self, settings: Settings) {
+        for class in settings.classes.iter().skip(self.timings.len() - 1) {
+            self.timings.push(Timing::guess(class.aim as f64 / 3.0));
+        }
+        let tenants = settings.tenant_shares.len().max(self.tenants.len());
+        self.tenants.resize_with(tenants, || Rate::new(self.now));
+        self.idle_time = idle_time(&settings);
+        self.settings = settings;
+    }
+
     // ---- the list ----
 
     fn members(&mut self, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
@@ -186,7 +203,8 @@
             None => self.rng.u64(..),
         };
         let mut open = Open::new(&request, key, told.map_or(untold, |c| c.effect), self.now);
-        open.class = class.unwrap_or(self.settings.classes.len());
+        open.class = class.map_or(0, |c| c + 1);
+        (open.most, open.copies) = (self.settings.max_attempts, self.settings.second_copies);
         open.aim = told.map_or(request.budget, |c| c.aim);
         open.worth = self.worth(&request);
         self.open.insert(id, open);
@@ -203,7 +221,7 @@
         }
         r.wait = Wait::Nothing;
         let (stored, again) = (r.stored, !r.tries.is_empty() && r.stored.is_none());
-        let (aside, most, class) = (self.settings.mode == Mode::Aside, self.settings.max_attempts, r.class);
+        let (aside, most, class) = (self.settings.mode == Mode::Aside, r.most, r.class);
         if self.now + self.settings.quantum >= r.deadline || r.tries.len() >= most {
             self.finish(id, out);
         } else if aside && (r.write || r.missed() && stored.is_none()) {
@@ -306,7 +324,7 @@
     }
 
     fn may_copy(&self, r: &Open) -> bool {
-        self.settings.second_copies && r.repeatable() && !r.streaming
+        r.copies && r.repeatable() && !r.streaming
     }
 
     fn outcome(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
@@ -366,7 +384,9 @@
         let (now, tau) = (self.now, self.tau());
         let all = self.arrived.add(now, tau);
         let worth = request.class.and_then(|c| self.settings.classes.get(c)).map_or(1.0, |c| c.worth);
-        let Some(tenant) = request.tenant.filter(|&t| t < self.tenants.len()) else { return worth };
+        let Some(tenant) = request.tenant.filter(|&t| t < self.settings.tenant_shares.len()) else {
+            return worth;
+        };
         let share = self.tenants[tenant].add(now, tau) / all;
         let over = share > 1.25 * self.settings.tenant_shares[tenant];
         worth * if over { self.settings.over_share_worth } else { 1.0 }
@@ -379,7 +399,7 @@
         let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
         let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
         let late = self.now + self.least(r, timing) >= r.deadline;
-        if r.settled || r.streaming || late || r.tries.len() >= self.settings.max_attempts {
+        if r.settled || r.streaming || late || r.tries.len() >= r.most {
             return false; // nothing goes out after the end
         }
         if !s.in_service() || r.outstanding() > 0 && !self.may_copy(r) {
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -15,13 +15,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::driver::{Arrival, Message};
+use super::driver::{Arrival, Message, Terms};
 use super::log;
 use super::metrics::{InFlight, Metrics};
 use super::resp::{Malformed, next_frame};
@@ -226,7 +226,7 @@
 pub struct Clients {
     to: UnboundedSender<Message>,
     bounds: Bounds,
-    classes: Arc<HashSet<String>>,
+    terms: watch::Receiver<Terms>,
     /// Connections on which nothing is owed.
     seats: Arc<Seats>,
     /// Told when a session has ended.
@@ -246,7 +246,7 @@
     pub fn new(
         to: UnboundedSender<Message>,
         bounds: Bounds,
-        classes: HashSet<String>,
+        terms: watch::Receiver<Terms>,
         closing: Closing,
         sessions: TaskTracker,
         metrics: Arc<Metrics>,
@@ -254,21 +254,7 @@
         let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
         let seats = Arc::new(Seats::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
-        let classes = Arc::new(classes);
-        Clients {
-            to,
-            bounds,
-            classes,
-            seats,
-            left,
-            next_id,
-            open_ids,
-            held,
-            large,
-            closing,
-            sessions,
-            metrics,
-        }
+        Clients { to, bounds, terms, seats, left, next_id, open_ids, held, large, closing, sessions, metrics }
     }
 
     /// Takes connections until it is aborted.
@@ -558,7 +544,7 @@
     fn request(&mut self, command: Command, length: usize) -> Result<Owed, CommandError> {
         // Guards against: requests that name a class which the settings lack, sent on to servers that turn
         // them away. One that names none is served.
-        if command.fact("c").is_some_and(|class| !self.shared.classes.contains(class)) {
+        if command.fact("c").is_some_and(|class| !self.shared.terms.borrow().classes.contains(class)) {
             return Err(CommandError::Class);
         }
         if self.open >= PIPELINED {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -7,6 +7,7 @@
 use std::{fmt, fs, io};
 
 use serde::Deserialize;
+use serde_json::Value;
 use stonefold::setup::{Setup, SetupError, Stated};
 
 use super::clients::Bounds;
@@ -36,6 +37,7 @@
     pub memory: usize,
     pub known: List,
     pub setup: Setup,
+    pub file: Followed,
 }
 
 /// Why a node cannot start.
@@ -48,6 +50,10 @@
     Seed(String),
     Settings(SetupError),
     Sockets(usize),
+    /// A key that the file in force has, and the new one lacks.
+    Lacks(String),
+    /// The node is on its way to its end.
+    Ending,
 }
 
 impl fmt::Display for ConfigError {
@@ -59,6 +65,8 @@
             ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
             ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
             ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
+            ConfigError::Lacks(key) => write!(f, "the key {key} is missing"),
+            ConfigError::Ending => write!(f, "the node ends"),
             ConfigError::Sockets(n) => {
                 write!(f, "a limit of {n} sockets is too low: {} wanted for each process", 2 * RESERVED)
             }
@@ -86,17 +94,61 @@
 }
 
 impl File {
-    fn read() -> Result<File, ConfigError> {
+    fn read() -> Result<(File, Value), ConfigError> {
         let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
         let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path, e))
+        let value: Value =
+            serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path.clone(), e))?;
+        let file: File = File::deserialize(&value).map_err(|e| ConfigError::Malformed(path, e))?;
+        file.settings.check().map_err(ConfigError::Settings)?;
+        Ok((file, value))
+    }
+}
+
+/// Objects of the file whose keys must all be there again in a new one: this one and those in it.
+const WHOLE: [&str; 4] = ["", "/settings", "/settings/Limits", "/settings/Guarantees"];
+
+/// A key that the file in force has and a new one lacks.
+fn lacking(before: &Value, now: &Value) -> Option<String> {
+    WHOLE.into_iter().find_map(|part| {
+        let keys = before.pointer(part)?.as_object()?.keys();
+        let there = |key: &&String| now.pointer(part).is_some_and(|now| now.get(key).is_some());
+        keys.into_iter().find(|key| !there(key)).map(|key| format!("{part}/{key}"))
+    })
+}
+
+/// What a new file changes while the node runs.
+pub struct Reload {
+    pub discovery: SocketAddr,
+    pub settings: Stated,
+}
+
+/// The configuration file, as it was last taken.
+#[derive(Default)]
+pub struct Followed {
+    value: Value,
+}
+
+impl Followed {
+    /// Reads and checks the file anew; nothing follows from it yet. What the file
+    /// says of discovery goes before the environment, which is as old as the process.
+    pub fn read(&self) -> Result<(Reload, Followed), ConfigError> {
+        let (file, value) = File::read()?;
+        if let Some(key) = lacking(&self.value, &value) {
+            return Err(ConfigError::Lacks(key));
+        }
+        let discovery = match file.discovery {
+            Some(text) => parse("discovery", text)?,
+            None => address("EDGE_DISCOVERY", None)?,
+        };
+        Ok((Reload { discovery, settings: file.settings }, Followed { value }))
     }
 }
 
 impl Config {
     /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let file = File::read()?;
+        let (file, value) = File::read()?;
         let processes = if handover::is_passed() { 2 } else { 1 };
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 2 * RESERVED * processes {
@@ -111,19 +163,11 @@
             sockets,
             memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20) / processes,
             known: file.known,
+            file: Followed { value },
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
         })
     }
 
-    /// Reads the file anew, for what may change while the node runs: where discovery is. What the file
-    /// says now goes before the environment, which is as old as the process.
-    pub fn discovery_anew() -> Result<SocketAddr, ConfigError> {
-        match File::read()?.discovery {
-            Some(text) => parse("discovery", text),
-            None => address("EDGE_DISCOVERY", None),
-        }
-    }
-
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
     /// for those to come; a quarter of the memory. The third is one for both processes of an upgrade: a client
     /// that comes to the new one has left the old.
--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -68,7 +68,14 @@
 impl Directory {
     pub fn new(keepalive: Duration) -> Self {
         let (servers, banned, gone) = Default::default();
-        Directory { servers, banned, gone, idle_limit: keepalive * 9 / 10 }
+        let mut directory = Directory { servers, banned, gone, idle_limit: Duration::ZERO };
+        directory.set_keepalive(keepalive);
+        directory
+    }
+
+    /// Servers close a connection that has idled for so long.
+    pub fn set_keepalive(&mut self, keepalive: Duration) {
+        self.idle_limit = keepalive * 9 / 10;
     }
 
     /// Takes over a list; tells the module's view of its entries.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -1,12 +1,12 @@
 //! The one task that owns the module, the open requests and the timers.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use stonefold::setup::{Setup, micros};
+use stonefold::setup::{Setup, SetupError, Stated, micros};
 use stonefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
@@ -46,12 +46,29 @@
     ListFailed,
 }
 
+/// What the settings mean for the parts round the driver.
+#[derive(Clone)]
+pub struct Terms {
+    /// Classes that clients may name.
+    pub classes: HashSet<String>,
+    /// The longest that a client of any class waits.
+    pub longest: Duration,
+}
+
+impl Terms {
+    pub fn of(setup: &Setup) -> Terms {
+        Terms { classes: setup.class_names().clone(), longest: Duration::from_micros(setup.longest_deadline) }
+    }
+}
+
 /// What the driver is told before all else, whatever waits in its inbox.
 pub enum Control {
     /// The process ends at this time: what comes from now on has to be answered by then.
     Stopping(Instant),
     /// Whether there is a server of this name.
     Known(String, oneshot::Sender<bool>),
+    /// New settings; the answer tells what follows from them for the other parts.
+    Reload(Box<Stated>, oneshot::Sender<Result<Terms, SetupError>>),
     /// The orders for servers, as they are now. The sender is told once they are in force.
     Orders(Orders, Option<oneshot::Sender<()>>),
 }
@@ -209,6 +226,11 @@
             Control::Stopping(at) => self.ends = Some(at),
             // Who asked may have left.
             Control::Known(name, answer) => _ = answer.send(self.directory.knows(&name)),
+            Control::Reload(stated, answer) => {
+                let terms = self.setup.followed_by(*stated).map(|setup| self.turn_to(setup));
+                self.decide();
+                let _ = answer.send(terms);
+            }
             Control::Orders(orders, done) => {
                 self.obey(orders);
                 self.decide();
@@ -217,6 +239,15 @@
         }
     }
 
+    /// Goes by new settings. Requests that are open keep the rules they arrived under.
+    fn turn_to(&mut self, setup: Setup) -> Terms {
+        self.setup = setup;
+        let settings = &self.setup.settings;
+        self.directory.set_keepalive(Duration::from_micros(settings.keepalive));
+        self.events.push_back(Event::Settings(Box::new(settings.clone())));
+        Terms::of(&self.setup)
+    }
+
     /// Brings into force what differs from the orders so far.
     fn obey(&mut self, orders: Orders) {
         for (name, order) in &orders {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,26 +11,27 @@
 mod metrics;
 mod operator;
 mod origin;
+mod reload;
 mod resp;
 mod seats;
 mod state;
 
 use std::fmt;
 use std::io::{self, Write};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
 use config::Config;
-use driver::{Control, Driver, Wiring};
+use driver::{Control, Driver, Terms, Wiring};
 use metrics::Metrics;
 use operator::Call;
+use reload::Follower;
 use state::{Order, Orders, StateError, Store};
 
 /// After word to stop, connections that were on their way are still taken for so long, unless a successor has
@@ -50,13 +51,12 @@
 const LAST_WRITES: Duration = Duration::from_millis(600);
 
 /// Serves until SIGTERM, then answers what was taken.
-pub async fn run(config: Config) -> io::Result<()> {
+pub async fn run(mut config: Config) -> io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
     let listener = handover::listener(config.listen).await.map_err(io::Error::other)?;
     log(format_args!("listening on {}", listener.local_addr()?));
-    let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
     let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
@@ -64,9 +64,9 @@
     let (new_address, address) = watch::channel(config.discovery);
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
-    let classes = config.setup.class_names();
+    let (new_terms, terms) = watch::channel(Terms::of(&config.setup));
     let metrics = Arc::new(Metrics::default());
-    classes.iter().for_each(|class| _ = metrics.class(class));
+    terms.borrow().classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
     let store = Arc::new(Store::of_node());
     store.changed();
@@ -76,6 +76,7 @@
     });
     tokio::spawn(follow_orders(store.clone(), control.clone()));
     let operator = config.operator;
+    let file = std::mem::take(&mut config.file);
     let serving = Arc::new(AtomicBool::new(false));
     let wiring = Wiring {
         metrics: metrics.clone(),
@@ -93,17 +94,21 @@
     }
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
-    tokio::spawn(follow_configuration(reload, new_address));
+    let follower =
+        Follower { file, control: control.clone(), metrics: metrics.clone(), new_address, new_terms };
+    tokio::spawn(follower.run(reload));
 
     let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone(), metrics);
+    let clients =
+        clients::Clients::new(sender, bounds, terms.clone(), closing.clone(), sessions.clone(), metrics);
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
     tokio::select! {
         _ = stop.recv() => {}
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
     }
+    let longest = terms.borrow().longest.min(LONGEST_GRANTED);
     let last = Instant::now() + longest + LAST_WRITES;
     let _ = control.send(Control::Stopping(last - LAST_WRITES / 2)).await; // a driver that is gone takes nothing
     serving.store(false, Ordering::Relaxed);
@@ -211,19 +216,6 @@
     }
 }
 
-/// At each SIGHUP, tells where discovery is by the configuration as it is now.
-async fn follow_configuration(mut reload: Signal, address: watch::Sender<SocketAddr>) {
-    while reload.recv().await.is_some() {
-        match Config::discovery_anew() {
-            Ok(new) => {
-                log(format_args!("discovery is at {new}"));
-                let _ = address.send(new); // nobody follows it once the node ends
-            }
-            Err(error) => log(format_args!("configuration kept as it was: {error}")),
-        }
-    }
-}
-
 /// A line for the log. Guards against: a panic where nobody reads the log any more.
 fn log(line: fmt::Arguments) {
     let _ = writeln!(io::stderr(), "{line}");
--- /dev/null
+++ b/src/node/reload.rs
@@ -0,0 +1,72 @@
+//! A new configuration while the node runs: at each SIGHUP the file is taken whole, or not at all.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::Signal;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+use super::config::{ConfigError, Followed};
+use super::driver::{Control, Terms};
+use super::log;
+use super::metrics::Metrics;
+
+/// A class that the settings have dropped is still taken for so long: its last requests are on their way.
+const LAST_REQUESTS: Duration = Duration::from_secs(1);
+
+/// Follows the configuration file.
+pub struct Follower {
+    pub file: Followed,
+    pub control: mpsc::Sender<Control>,
+    pub metrics: Arc<Metrics>,
+    pub new_address: watch::Sender<SocketAddr>,
+    pub new_terms: watch::Sender<Terms>,
+}
+
+impl Follower {
+    /// Goes on until the process ends.
+    pub async fn run(mut self, mut reload: Signal) {
+        // When dropped classes are no longer taken, and what holds then.
+        let mut settled: Option<(Instant, Terms)> = None;
+        loop {
+            let at = settled.as_ref().map(|(at, _)| *at);
+            tokio::select! {
+                Some(()) = reload.recv() => match self.take().await {
+                    Ok(terms) => settled = Some((Instant::now() + LAST_REQUESTS, terms)),
+                    Err(error) => {
+                        self.metrics.reloads_refused.add_one();
+                        log(format_args!("configuration kept as it was: {error}"));
+                    }
+                },
+                () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
+                    if let Some((_, terms)) = settled.take() {
+                        self.new_terms.send_replace(terms);
+                    }
+                }
+                else => return,
+            }
+        }
+    }
+
+    /// Brings the file as it is now into force. An error leaves all as it was.
+    async fn take(&mut self) -> Result<Terms, ConfigError> {
+        let (new, file) = self.file.read()?;
+        let (sender, answer) = oneshot::channel();
+        let told = self.control.send(Control::Reload(Box::new(new.settings), sender)).await;
+        told.map_err(|_| ConfigError::Ending)?;
+        let terms = answer.await.map_err(|_| ConfigError::Ending)?.map_err(ConfigError::Settings)?;
+        self.file = file;
+        terms.classes.iter().for_each(|class| _ = self.metrics.class(class));
+        self.new_terms.send_modify(|now| {
+            now.classes.extend(terms.classes.iter().cloned());
+            now.longest = now.longest.max(terms.longest);
+        });
+        let at = new.discovery;
+        self.new_address.send_if_modified(|now| std::mem::replace(now, at) != at);
+        log(format_args!("new configuration, with discovery at {at}"));
+        self.metrics.reloads.add_one();
+        Ok(terms)
+    }
+}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -105,20 +105,80 @@
 /// Where the settings state no time for connecting.
 const CONNECT_TIMEOUT: Micros = 1_000_000;
 
-/// Why settings could not be used: a class of an unknown effect.
+/// Why settings could not be used.
 #[derive(Debug)]
-pub struct SetupError(String);
+pub enum SetupError {
+    /// A class of an unknown effect.
+    Effect(String),
+    /// No class at all, where some are wanted.
+    NoClass,
+    /// A class without a name, or with the name of another.
+    Name(String),
+    /// A class whose aim or deadline is no positive number.
+    Time(String),
+    /// No attempts, or none stated.
+    Attempts,
+}
 
 impl fmt::Display for SetupError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "unknown effect {:?}", self.0)
+        match self {
+            SetupError::Effect(effect) => write!(f, "unknown effect {effect:?}"),
+            SetupError::NoClass => write!(f, "no class"),
+            SetupError::Name(name) => write!(f, "class name {name:?} is empty or used twice"),
+            SetupError::Time(name) => write!(f, "class {name:?} has no positive aim and deadline"),
+            SetupError::Attempts => write!(f, "attempts are not a positive number"),
+        }
     }
 }
 
 impl std::error::Error for SetupError {}
 
+impl Stated {
+    /// Whether a node can go by these settings as they stand, with no default for what matters.
+    ///
+    /// # Errors
+    /// If there is no class, or one without a name of its own, a positive aim or a positive deadline, or if
+    /// there are no attempts.
+    pub fn check(&self) -> Result<(), SetupError> {
+        let mut names = HashSet::new();
+        for class in &self.classes {
+            if class.name.is_empty() || !names.insert(&class.name) {
+                return Err(SetupError::Name(class.name.clone()));
+            }
+            if !(class.aim > 0.0 && class.hard_limit > 0.0) {
+                return Err(SetupError::Time(class.name.clone()));
+            }
+        }
+        if names.is_empty() {
+            return Err(SetupError::NoClass);
+        }
+        self.limits.max_attempts.filter(|&n| n > 0).map(drop).ok_or(SetupError::Attempts)
+    }
+}
+
+/// Names in the order in which they were first met, and which of them are in force.
+#[derive(Debug, Clone, Default)]
+struct Names {
+    all: HashMap<String, usize>,
+    current: HashSet<String>,
+}
+
+impl Names {
+    /// These names are in force now: each keeps its index, new ones come behind. Tells their indices.
+    fn turn_to<'a>(&mut self, names: impl Iterator<Item = &'a String>) -> Vec<usize> {
+        let names: Vec<String> = names.cloned().collect();
+        self.current = names.iter().cloned().collect();
+        let index = |name: String| {
+            let next = self.all.len();
+            *self.all.entry(name).or_insert(next)
+        };
+        names.into_iter().map(index).collect()
+    }
+}
+
 /// What the settings tell: the module's part, the node's part, and the names behind the indices.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Setup {
     /// What the module is told.
     pub settings: Settings,
@@ -126,8 +186,8 @@
     pub connect_timeout: Micros,
     /// The longest that a client of any class waits.
     pub longest_deadline: Micros,
-    classes: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
+    classes: Names,
+    tenants: Names,
     zones: HashMap<String, u32>,
     kinds: HashMap<String, u32>,
     origin_kind: Option<String>,
@@ -136,9 +196,27 @@
 impl TryFrom<Stated> for Setup {
     type Error = SetupError;
 
-    fn try_from(setup: Stated) -> Result<Setup, SetupError> {
-        let mut classes = Vec::new();
-        for class in &setup.classes {
+    fn try_from(stated: Stated) -> Result<Setup, SetupError> {
+        Setup::build(stated, None)
+    }
+}
+
+impl Setup {
+    /// The setup after this one: what is named in both keeps its index.
+    ///
+    /// # Errors
+    /// If a class is of an unknown effect.
+    pub fn followed_by(&self, stated: Stated) -> Result<Setup, SetupError> {
+        Setup::build(stated, Some(self))
+    }
+
+    fn build(setup: Stated, before: Option<&Setup>) -> Result<Setup, SetupError> {
+        let mut class_names = before.map(|b| b.classes.clone()).unwrap_or_default();
+        let mut tenant_names = before.map(|b| b.tenants.clone()).unwrap_or_default();
+        let mut classes = before.map(|b| b.settings.classes.clone()).unwrap_or_default();
+        let mut tenant_shares = before.map(|b| b.settings.tenant_shares.clone()).unwrap_or_default();
+        let indices = class_names.turn_to(setup.classes.iter().map(|c| &c.name));
+        for (class, index) in setup.classes.iter().zip(indices) {
             let scope = match class.dedup_scope.as_str() {
                 "zone" => Scope::Zone,
                 "cell" => Scope::Cell,
@@ -148,15 +226,24 @@
                 "safe" => Effect::Safe,
                 "keyed" => Effect::Keyed { scope, window: micros(class.window) },
                 "unsafe" => Effect::Unsafe,
-                other => return Err(SetupError(other.into())),
+                other => return Err(SetupError::Effect(other.into())),
             };
-            classes.push(Class { aim: micros(class.aim), worth: class.worth.unwrap_or(1.0), effect });
+            let class = Class { aim: micros(class.aim), worth: class.worth.unwrap_or(1.0), effect };
+            place(&mut classes, index, class);
+        }
+        let indices = tenant_names.turn_to(setup.tenants.iter().map(|t| &t.name));
+        for (tenant, index) in setup.tenants.iter().zip(indices) {
+            place(&mut tenant_shares, index, tenant.share);
         }
+        let mut zones = before.map(|b| b.zones.clone()).unwrap_or_default();
+        let mut kinds = before.map(|b| b.kinds.clone()).unwrap_or_default();
+        setup.dcs.iter().for_each(|name| _ = number(&mut zones, Cow::Borrowed(name)));
+        setup.skus.iter().for_each(|name| _ = number(&mut kinds, Cow::Borrowed(name)));
         let defaults = Settings::default();
         let (limits, rules) = (setup.limits, setup.guarantees);
         let settings = Settings {
             classes,
-            tenant_shares: setup.tenants.iter().map(|t| t.share).collect(),
+            tenant_shares,
             over_share_worth: setup.over_share_worth.unwrap_or(defaults.over_share_worth),
             mode: if setup.family_info.mode == "aside" { Mode::Aside } else { Mode::Through },
             must_subscribe: setup.registry_mode == "subscribe",
@@ -172,38 +259,48 @@
             fall: micros(rules.fall),
             quantum: micros(setup.quantum),
             nodes: setup.siblings.max(1),
-            zone: setup.zone.and_then(|zone| setup.dcs.iter().position(|z| *z == zone)).map(|z| z as u32),
+            zone: setup
+                .zone
+                .filter(|zone| setup.dcs.contains(zone))
+                .and_then(|zone| zones.get(&zone).copied()),
             cross_zone_price: setup.prices.cross_zone,
             keepalive: limits.keepalive.map_or(defaults.keepalive, micros),
         };
         let origin_kind = setup.family_info.origin_kind.and_then(|k| usize::try_from(k).ok());
-        let index = |names: Vec<String>| names.into_iter().zip(0..).collect::<HashMap<_, usize>>();
         let hard_limits = setup.classes.iter().map(|c| micros(c.hard_limit));
         Ok(Setup {
             settings,
             connect_timeout: limits.connect_timeout.map_or(CONNECT_TIMEOUT, micros),
             longest_deadline: hard_limits.max().unwrap_or(0),
-            classes: index(setup.classes.into_iter().map(|c| c.name).collect()),
-            tenants: index(setup.tenants.into_iter().map(|t| t.name).collect()),
-            zones: setup.dcs.into_iter().zip(0..).collect(),
+            classes: class_names,
+            tenants: tenant_names,
+            zones,
             origin_kind: origin_kind.and_then(|k| setup.skus.get(k).cloned()),
-            kinds: setup.skus.into_iter().zip(0..).collect(),
+            kinds,
         })
     }
 }
 
+/// Puts a value at an index, which is at most one behind the last.
+fn place<T>(values: &mut Vec<T>, index: usize, value: T) {
+    match values.get_mut(index) {
+        Some(old) => *old = value,
+        None => values.push(value),
+    }
+}
+
 impl Setup {
-    /// The index of a class, if the settings name it.
+    /// The index of a class that the settings name, or named before.
     pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.get(name).copied()
+        self.classes.all.get(name).copied()
     }
-    /// The names of all classes.
-    pub fn class_names(&self) -> HashSet<String> {
-        self.classes.keys().cloned().collect()
+    /// The names of the classes in force.
+    pub fn class_names(&self) -> &HashSet<String> {
+        &self.classes.current
     }
     /// The index of a tenant, if the settings name it.
     pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.get(name).copied()
+        self.tenants.all.get(name).copied().filter(|_| self.tenants.current.contains(name))
     }
     /// The number of a zone; a new one for a name not met before.
     pub fn zone(&mut self, name: Cow<str>) -> u32 {
@@ -221,7 +318,7 @@
 
 /// The index of a name; a new one for a name not met before.
 fn number(names: &mut HashMap<String, u32>, name: Cow<str>) -> u32 {
-    let next = names.len() as u32;
+    let next = names.len() as u32; // none is ever taken out
     match names.get(&*name) {
         Some(&index) => index,
         None => *names.entry(name.into_owned()).or_insert(next),
--- a/src/state.rs
+++ b/src/state.rs
@@ -262,6 +262,9 @@
     pub arrived: Micros,
     pub write: bool,
     pub effect: Effect,
+    /// Most attempts, and whether two may be out at once.
+    pub most: usize,
+    pub copies: bool,
     pub tries: Vec<Try>,
     pub wait: Wait,
     /// Its latest place in a queue.
@@ -285,6 +288,8 @@
             arrived: now,
             write: request.write,
             effect,
+            most: 0,
+            copies: false,
             tries: Vec::new(),
             wait: Wait::Nothing,
             ticket: (0, 0, request.id),
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -288,3 +288,114 @@
     assert_eq!(node.call(format!("ENABLE {CACHE}\n")), "ok\n");
     await_figure(&node, "svc_hosts_down", 0);
 }
+
+// ---- a new configuration ----
+
+/// Puts a file before the node; tells how many were taken and turned down, once it has been looked at.
+fn reload(node: &Node, config: &str) -> (u64, u64) {
+    let counts = || (figure(node, "svc_reconfig_ok_total"), figure(node, "svc_reconfig_failed_total"));
+    let (before, start) = (counts(), std::time::Instant::now());
+    node.reload(config);
+    loop {
+        let now = counts();
+        if now != before {
+            return now;
+        }
+        assert!(start.elapsed() < PATIENCE, "not looked at");
+    }
+}
+
+#[test]
+fn a_broken_file_changes_nothing_and_is_counted() {
+    let scene = Scene::new();
+    let node = scene.node();
+    let good = node.config();
+    let class = r#"{"Name":"new","Aim":300.0,"HardLimit":2000.0,"Effect":"safe"}"#;
+    let with_class = |class: &str| good.replace("\"Classes\":[", &format!("\"Classes\":[{class},"));
+    let broken = [
+        String::new(),
+        "{}".into(),
+        "null".into(),
+        good[..good.len() / 2].into(),
+        good.replace("\"settings\"", "\"setings\""),
+        good.replace("\"seed\"", "\"sed\""),
+        good.replace("\"known\"", "\"know\""),
+        good.replace("\"Classes\"", "\"Class\""),
+        good.replace("\"Limits\"", "\"Limit\""),
+        good.replace("\"Guarantees\"", "\"Guarantee\""),
+        good.replace("\"MaxAttempts\":5", "\"MaxAttempt\":5"),
+        good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":0"),
+        good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":-1"),
+        good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":null"),
+        good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":\"many\""),
+        good.replace("\"DrainGrace\":500.0,", ""),
+        with_class(&class.replace("2000.0", "0")),
+        with_class(&class.replace("2000.0", "-5.0")),
+        with_class(&class.replace("2000.0", "null")),
+        with_class(&class.replace("2000.0", "\"long\"")),
+        with_class(&class.replace("\"HardLimit\":2000.0,", "")),
+        with_class(&class.replace("\"Aim\":300.0,", "")),
+        with_class(&class.replace("\"Effect\":\"safe\"", "\"Effect\":\"odd\"")),
+        with_class(&class.replace(",\"Effect\":\"safe\"", "")),
+        with_class(&class.replace("new", "read")),
+        with_class(&class.replace("new", "")),
+        with_class(class).replace("{\"name\"", "{\"discovery\":\"nowhere\",\"name\""),
+    ];
+    for (n, config) in broken.iter().enumerate() {
+        assert_eq!(reload(&node, config), (0, n as u64 + 1), "{config}");
+    }
+    let mut client = node.client();
+    client.get("k", "c=new,d=1900");
+    assert_eq!(client.answer().as_deref(), Some("-ERR unknown class"));
+    send(&mut client, "k", "i");
+    scene.cache.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert_eq!(reload(&node, &with_class(class)), (1, broken.len() as u64));
+    client.get("k", "c=new,d=1900");
+    scene.cache.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+#[test]
+fn classes_come_and_go_and_what_is_open_keeps_its_rules_and_its_counts() {
+    let scene = Scene::new();
+    let node = scene.node();
+    let mut client = node.client();
+    client.get("k", "c=put,d=15000"); // unsafe: never sent twice
+    let open = scene.cache.call();
+    let put = r#"{"Name":"put","Aim":800.0,"HardLimit":2000.0,"Effect":"unsafe","Worth":9.0}"#;
+    let scan = r#"{"Name":"scan","Aim":300.0,"HardLimit":2000.0,"Effect":"safe"}"#;
+    let read = r#"{"Name":"read","Aim":300.0,"HardLimit":2000.0,"Effect":"safe","Worth":3.0},"#;
+    let config = node.config();
+    assert!(config.contains(put) && config.contains(read));
+    let new = config.replace(put, scan).replace(read, "");
+    assert_eq!(reload(&node, &new), (1, 0));
+    assert_eq!(figure(&node, "svc_success_total{tier=\"scan\"}"), 0);
+    open.close();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert_eq!(figure(&node, "svc_failure_total{tier=\"put\"}"), 1, "a dropped class keeps its counts");
+    client.get("k", "c=scan,d=15000");
+    scene.cache.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    // Dropped classes are taken no longer, once their last requests have come.
+    let start = std::time::Instant::now();
+    loop {
+        client.get("k", "c=read,d=15000");
+        if let Some(call) = scene.cache.called() {
+            call.value("v");
+        }
+        let answer = loop {
+            if let Some(call) = scene.cache.called() {
+                call.value("v");
+            }
+            if let Some(answer) = client.try_answer() {
+                break answer;
+            }
+        };
+        if answer == "-ERR unknown class" {
+            break;
+        }
+        assert!(answer == "v" && start.elapsed() < PATIENCE, "{answer}");
+    }
+    assert_eq!(figure(&node, "svc_failure_total{tier=\"put\"}"), 1);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -590,3 +590,25 @@
     node.warm_up();
     assert!(!used(&mut node, 1000).contains(&ServerId(3)));
 }
+
+// ---- new settings ----
+
+#[test]
+fn an_open_request_keeps_its_class_and_attempts_and_a_new_one_goes_by_the_new() {
+    let old = settings(Mode::Through);
+    let mut node = Node::new(old.clone(), 3);
+    node.warm_up();
+    // Class 0 is safe; open under five attempts. Then it becomes unsafe, with one.
+    assert!(sent(&node.read(1000, "k")).is_some());
+    let mut new = Settings { max_attempts: 1, ..old };
+    new.classes[0].effect = Effect::Unsafe;
+    new.classes.push(Class { aim: 100_000, worth: 1.0, effect: Effect::Safe });
+    node.tell(Event::Settings(Box::new(new)));
+    assert!(sent(&node.end(1000, 0, Outcome::Failed, 10_000)).is_some(), "tried again, as it may be");
+    assert!(sent(&node.read(1001, "k")).is_some());
+    let ended = node.end(1001, 0, Outcome::Failed, 10_000);
+    assert!(matches!(ended[..], [Action::Fail(RequestId(1001)), ..]), "{ended:?}");
+    // The class that came is served.
+    assert!(sent(&node.request(1002, "k", 3, false)).is_some());
+    node.end(1002, 0, Outcome::Ok, 10_000);
+}
