Stream values of up to 4 MiB in pieces, under one budget of memory

A log of ends showed the module calling the winner off: the cancelled copy's end was told as settling the request.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -126,7 +126,10 @@
             Event::FirstByte { id, attempt } => {
                 if let Some(r) = self.open.get_mut(&id).filter(|r| attempt < r.tries.len()) {
                     r.streaming = true;
+                    let to = r.tries[attempt].server;
                     self.cancel(id, Some(attempt), out);
+                    self.free_place(id, attempt, to);
+                    self.admit_queued(CACHES, out);
                 }
             }
             Event::ClientGone(id) => self.end(id, out),
--- a/src/health.rs
+++ b/src/health.rs
@@ -36,6 +36,17 @@
         lost.into_iter().map(|(_, id, _)| id).collect()
     }
 
+    /// An answer has begun: how long it goes on depends on its length and its client. It holds no place any
+    /// more, and its server is not overdue.
+    pub(super) fn free_place(&mut self, id: RequestId, attempt: usize, to: ServerId) {
+        let Some(s) = self.servers.get_mut(&to).filter(|_| self.open[&id].tries[attempt].out) else { return };
+        if s.close(id, attempt).is_some() {
+            s.lost.insert((id, attempt));
+            let gate = &mut self.gates[usize::from(s.member.origin)];
+            gate.out = gate.out.saturating_sub(1);
+        }
+    }
+
     fn learn(&mut self, end: &AttemptEnd, to: ServerId) {
         let (class, aim) = self.open.get(&end.id).map_or((0, 0), |r| (r.class, r.aim));
         let tau = self.tau();
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -12,6 +12,7 @@
 use super::clients::Command;
 use super::directory::Target;
 use super::metrics::Figure;
+use super::relay::Pass;
 use super::{caches, origin};
 
 /// A connection to a server, between requests.
@@ -52,6 +53,7 @@
     wait: Duration,
     connect_timeout: Duration,
     written: &Figure,
+    pass: Pass,
 ) -> (Reply, Option<Connection>) {
     let connection = match pooled {
         Some(connection) => connection,
@@ -68,11 +70,12 @@
     }
     match connection {
         Connection::Cache(connection) => {
-            let (reply, connection) = connection.ask(command.for_cache(wait), written).await;
+            let (reply, connection) =
+                connection.ask(command.for_cache(wait), command.value.as_ref(), written, pass).await;
             (reply, connection.map(Connection::Cache))
         }
         Connection::Origin(connection) => {
-            let (reply, connection) = connection.ask(command, target.addr, written).await;
+            let (reply, connection) = connection.ask(command, target.addr, written, pass).await;
             (reply, connection.map(Connection::Origin))
         }
     }
--- a/src/node/caches.rs
+++ b/src/node/caches.rs
@@ -2,21 +2,25 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::str;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use socket2::SockRef;
 use stonefold::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::attempt::Reply;
-use super::clients::VALUE_LIMIT;
 use super::metrics::Figure;
+use super::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 use super::resp::{Malformed, next_frame};
 
-/// A value of 64 KiB and what stands round it.
-const LARGEST: usize = 66 << 10;
+/// A value that is passed on whole, and what stands round it.
+const LARGEST: usize = WHOLE + TAIL;
+/// What stands round a value.
+const TAIL: usize = 2 << 10;
 
 /// A connection between requests.
 pub struct Connection(TcpStream);
@@ -32,14 +36,34 @@
     }
 
     /// Sends one request and waits for its answer.
-    pub async fn ask(mut self, request: Bytes, written: &Figure) -> (Reply, Option<Self>) {
+    pub async fn ask(
+        mut self,
+        head: Bytes,
+        value: Option<&Bytes>,
+        written: &Figure,
+        pass: Pass,
+    ) -> (Reply, Option<Self>) {
         // Broken before the last byte was written: it never ran. After that it may have.
-        if self.0.write_all(&request).await.is_err() {
+        let write = async {
+            self.0.write_all(&head).await?;
+            if let Some(value) = value {
+                self.0.write_all(value).await?;
+                self.0.write_all(b"\r\n").await?;
+            }
+            Ok::<_, io::Error>(())
+        };
+        if write.await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
         written.add_one();
         let mut buffer = BytesMut::new();
         loop {
+            if let Some(length) = long_value(&mut buffer) {
+                return match self.stream(length, buffer, pass).await {
+                    Ok(reply) => (reply, Some(self)),
+                    Err(outcome) => (Reply::of(outcome), None),
+                };
+            }
             match next_frame(&mut buffer, LARGEST) {
                 Ok(Some(frame)) => {
                     let reply = reply(frame);
@@ -57,6 +81,72 @@
     }
 }
 
+impl Connection {
+    /// Passes a long value on as it comes; an error if the connection is of no further use. What has been read
+    /// of it is in the buffer.
+    async fn stream(&mut self, length: usize, buffer: BytesMut, pass: Pass) -> Result<Reply, Outcome> {
+        let Pass { budget, begin } = pass;
+        let (sink, stream) = way(length);
+        let mut begin = Some((begin, stream));
+        // The tail follows the value; it can't be in a buffer that is shorter than the value.
+        let mut left = length;
+        let mut first = Some(buffer.freeze()).filter(|bytes| !bytes.is_empty());
+        loop {
+            let chunk = match first.take() {
+                Some(bytes) => budget.hold(bytes).await.ok(),
+                None => tokio::select! {
+                    chunk = budget.read(&mut self.0, left) => chunk.ok().flatten(),
+                    () = sink.left() => return Err(Outcome::Canceled),
+                },
+            };
+            let chunk = chunk.ok_or(Outcome::Reset)?;
+            left -= chunk.bytes.len();
+            if let Some((begin, stream)) = begin.take() {
+                begin(stream);
+            }
+            if left > 0 {
+                sink.give(chunk).await.map_err(|Left| Outcome::Canceled)?;
+                continue;
+            }
+            // Guards against: a spoilt end that the client can't tell. It gets the last piece only now.
+            let reply = self.tail().await?;
+            sink.give(chunk).await.map_err(|Left| Outcome::Canceled)?;
+            return Ok(reply);
+        }
+    }
+
+    /// What stands behind a long value: the end of its string, how the read went, the load report.
+    async fn tail(&mut self) -> Result<Reply, Outcome> {
+        // As an array whose value is empty, it is read like any other answer.
+        let mut buffer = BytesMut::from(&b"*3\r\n$0\r\n"[..]);
+        loop {
+            match next_frame(&mut buffer, TAIL).map_err(|Malformed| Outcome::Failed)? {
+                Some(frame) if buffer.is_empty() => return reply(frame).map_err(|Malformed| Outcome::Failed),
+                Some(_) => return Err(Outcome::Failed),
+                None => {}
+            }
+            match timeout(STUCK, self.0.read_buf(&mut buffer)).await {
+                Ok(Ok(read)) if read > 0 => {}
+                _ => return Err(Outcome::Reset),
+            }
+        }
+    }
+}
+
+/// Takes the head of an answer with a long value out of the buffer; tells the value's length.
+fn long_value(buffer: &mut BytesMut) -> Option<usize> {
+    let rest = buffer.strip_prefix(b"*3\r\n$")?;
+    let end = rest.iter().take(10).position(|&b| b == b'\r')?;
+    let length = str::from_utf8(&rest[..end]).ok()?.parse().ok()?;
+    let long = rest[end..].starts_with(b"\r\n") && (WHOLE + 1..=VALUE_LIMIT).contains(&length);
+    let head = buffer.len() - rest.len() + end + 2;
+    // Its first bytes have come with it: they are what the attempt wins with.
+    (long && buffer.len() > head).then(|| {
+        buffer.advance(head);
+        length
+    })
+}
+
 /// Whether the peer has neither sent anything nor closed.
 pub fn nothing_has_come(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
@@ -79,7 +169,7 @@
                 _ => return Err(Malformed),
             };
             match value {
-                BytesFrame::BulkString(value) if value.len() <= VALUE_LIMIT => {
+                BytesFrame::BulkString(value) if value.len() <= WHOLE => {
                     Ok(Reply { outcome: Outcome::Ok, value, hit })
                 }
                 BytesFrame::Null => Ok(Reply { hit, ..Reply::of(Outcome::Miss) }),
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -15,7 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
@@ -24,15 +24,14 @@
 use super::driver::{Arrival, Message, Terms};
 use super::log;
 use super::metrics::{InFlight, Metrics};
+use super::relay::{Budget, CHUNK, LARGEST, Room, STUCK, Stream, VALUE_LIMIT, WHOLE};
 use super::resp::{Malformed, next_frame};
 use super::seats::{Guest, Seat, Seats};
 
-/// The longest value.
-pub const VALUE_LIMIT: usize = 64 << 10;
 /// Key, id and facts together are no longer than this.
 const ARGUMENTS: usize = 2 << 10;
-/// The longest command that is read to its end, if only to say that it is too long.
-const FRAME_LIMIT: usize = 2 * VALUE_LIMIT;
+/// Room for a command that does not tell how long it is.
+const UNTOLD: usize = 2 * WHOLE;
 /// Requests that one connection may have open; those beyond are answered with an error.
 const PIPELINED: usize = 64;
 /// Answers owed on one connection, errors among them; beyond that it is not read.
@@ -48,8 +47,6 @@
 const PATIENCE: Duration = Duration::from_millis(2500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
-/// A client that takes no byte of its answers for so long is given up.
-const STUCK: Duration = Duration::from_secs(5);
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
 /// The longest wait that is believed.
@@ -122,7 +119,7 @@
         percent_encode(self.key.as_bytes(), ESCAPED)
     }
 
-    /// The command for a cache: as it came, but for how long the node will wait.
+    /// The command for a cache up to its value: as it came, but for how long the node will wait.
     pub fn for_cache(&self, wait: Duration) -> Bytes {
         let wait = format!("d={}", wait.as_millis().max(1));
         let facts = self.facts.split(|&b| b == b',').map(|fact| match fact.starts_with(b"d=") {
@@ -131,10 +128,16 @@
         });
         let facts = facts.collect::<Vec<_>>().join(&b","[..]);
         let name = if self.value.is_some() { "CACHE.SET" } else { "CACHE.GET" };
-        let mut parts = vec![Bytes::from(name), Bytes::from(self.key.clone()), self.id.clone(), facts.into()];
-        parts.extend(self.value.clone());
-        let mut text = BytesMut::new();
-        encode(&mut text, &BytesFrame::Array(parts.into_iter().map(BytesFrame::BulkString).collect()));
+        let words = [name.as_bytes(), self.key.as_bytes(), &self.id[..], &facts[..]];
+        let mut text = BytesMut::from(if self.value.is_some() { "*5\r\n" } else { "*4\r\n" });
+        for word in words {
+            text.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+            text.extend_from_slice(word);
+            text.extend_from_slice(b"\r\n");
+        }
+        if let Some(value) = &self.value {
+            text.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+        }
         text.freeze()
     }
 }
@@ -157,7 +160,7 @@
             CommandError::Unknown => "unknown command",
             CommandError::Arguments => "wrong arguments",
             CommandError::Wait => "bad or missing d",
-            CommandError::TooLong => "value over 64 KiB",
+            CommandError::TooLong => "value over 4 MiB",
             CommandError::Class => "unknown class",
             CommandError::InUse => "id in use",
             CommandError::TooMany => "too many commands at once",
@@ -166,22 +169,25 @@
 }
 
 /// The final answer to a request.
-#[derive(Debug, PartialEq, Eq)]
 pub enum Answer {
     Served(Bytes),
+    /// Served, in so far as the rest comes.
+    Stream(Stream),
     /// Refused; the client should stay away so long, if that is not 0.
     Busy(Micros),
     Failed,
 }
 
-impl From<Answer> for BytesFrame {
-    fn from(answer: Answer) -> Self {
-        match answer {
+impl Answer {
+    /// What goes out at once, or the value that comes by and by.
+    fn outgoing(self) -> Result<BytesFrame, Stream> {
+        Ok(match self {
+            Answer::Stream(stream) => return Err(stream),
             Answer::Served(value) => BytesFrame::BulkString(value),
             Answer::Busy(0) => BytesFrame::Error("BUSY".into()),
             Answer::Busy(wait) => BytesFrame::Error(format!("BUSY {}", wait.div_ceil(1000)).into()),
             Answer::Failed => BytesFrame::Error("ERR failed".into()),
-        }
+        })
     }
 }
 
@@ -235,8 +241,8 @@
     open_ids: Arc<Mutex<HashSet<Bytes>>>,
     /// Bytes held by the open requests of all connections.
     held: Arc<AtomicUsize>,
-    /// Places for buffers that are not small.
-    large: Arc<Semaphore>,
+    /// Room for buffers that are not small.
+    budget: Budget,
     closing: Closing,
     sessions: TaskTracker,
     metrics: Arc<Metrics>,
@@ -250,11 +256,24 @@
         closing: Closing,
         sessions: TaskTracker,
         metrics: Arc<Metrics>,
+        budget: Budget,
     ) -> Self {
-        let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
         let seats = Arc::new(Seats::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
-        Clients { to, bounds, terms, seats, left, next_id, open_ids, held, large, closing, sessions, metrics }
+        Clients {
+            to,
+            bounds,
+            terms,
+            seats,
+            left,
+            next_id,
+            open_ids,
+            held,
+            budget,
+            closing,
+            sessions,
+            metrics,
+        }
     }
 
     /// Takes connections until it is aborted.
@@ -332,6 +351,8 @@
     answer: oneshot::Receiver<Answer>,
     _open_id: OpenId,
     _held: Held,
+    /// The room of a value that is not small: it is held until it is no longer of use.
+    _room: Option<Room>,
     _in_flight: InFlight,
 }
 
@@ -339,13 +360,24 @@
 enum Owed {
     Ready(BytesFrame),
     Waiting(Pending),
+    /// A value that has begun to come.
+    Coming(Stream, Pending),
+}
+
+/// What goes out next.
+enum Outgoing {
+    Frame(BytesFrame),
+    /// Its request is open until it has gone.
+    Value(Stream, Pending),
 }
 
 struct Session {
     shared: Clients,
     buffer: BytesMut,
-    /// The place of a buffer that is not small.
-    large: Option<OwnedSemaphorePermit>,
+    /// The room of a buffer that is not small.
+    large: Option<Room>,
+    /// How much of it had come when the client's patience was last reckoned from.
+    come: usize,
     read_at: Instant,
     owed: VecDeque<Owed>,
     /// How many of those owed are requests.
@@ -369,6 +401,7 @@
             shared,
             buffer: BytesMut::new(),
             large: None,
+            come: 0,
             read_at: now,
             owed: VecDeque::new(),
             open: 0,
@@ -395,7 +428,7 @@
     async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (mut reader, mut writer) = stream.split();
-        let (closing, large) = (self.shared.closing.clone(), self.shared.large.clone());
+        let (closing, budget) = (self.shared.closing.clone(), self.shared.budget.clone());
         let mut seat = None;
         loop {
             let unowed = self.owed.is_empty();
@@ -412,6 +445,7 @@
             // stop until it is killed with something unanswered. What is not read, the client sends again.
             let reading = self.may_begin() && !self.more && (!stopping || unowed);
             let roomy = self.buffer.len() < SMALL || self.large.is_some();
+            let wanted = if roomy { 0 } else { announced(&self.buffer).unwrap_or(UNTOLD) };
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
                 biased;
@@ -424,12 +458,25 @@
                     if self.heard && read == self.buffer.len() {
                         self.since = self.read_at; // a command's first byte
                     }
+                    // A long value may take its time as long as it comes on.
+                    if self.large.is_some() && self.buffer.len() >= self.come + CHUNK {
+                        (self.since, self.come) = (self.read_at, self.buffer.len());
+                    }
                 }
                 // Guards against: long commands on all connections at once, which outgrow the memory.
-                Ok(place) = large.clone().acquire_owned(), if reading && !roomy => self.large = Some(place),
-                answer = next(&mut self.owed), if !unowed => {
-                    let text = self.answers(answer);
-                    timeout(STUCK, writer.write_all(&text)).await??;
+                Ok(room) = budget.room(wanted), if reading && !roomy => {
+                    self.buffer.reserve(wanted.saturating_sub(self.buffer.len()));
+                    (self.large, self.come) = (Some(room), self.buffer.len());
+                }
+                outgoing = next(&mut self.owed), if !unowed => {
+                    match outgoing {
+                        Outgoing::Frame(frame) => {
+                            let text = self.answers(frame);
+                            timeout(STUCK, writer.write_all(&text)).await??;
+                        }
+                        Outgoing::Value(stream, _pending) => stream.write_to(&mut writer).await?,
+                    }
+                    self.recount();
                     self.since = Instant::now();
                 }
                 () = yield_now(), if self.more => {}
@@ -476,18 +523,37 @@
             let frame = match self.owed.front_mut() {
                 Some(Owed::Ready(frame)) => std::mem::replace(frame, BytesFrame::Null),
                 Some(Owed::Waiting(pending)) => match pending.answer.try_recv() {
-                    Ok(answer) => answer.into(),
+                    Ok(answer) => match answer.outgoing() {
+                        Ok(frame) => frame,
+                        Err(stream) => {
+                            if let Some(Owed::Waiting(pending)) = self.owed.pop_front() {
+                                self.owed.push_front(Owed::Coming(stream, pending));
+                            }
+                            break;
+                        }
+                    },
                     Err(_) => break, // not yet; should its sender be gone, the next turn says so
                 },
-                None => break,
+                Some(Owed::Coming(..)) | None => break,
             };
             self.owed.pop_front();
             encode(&mut text, &frame);
         }
-        self.open = self.owed.iter().filter(|owed| matches!(owed, Owed::Waiting(_))).count();
         text
     }
 
+    fn recount(&mut self) {
+        self.open = self.owed.iter().filter(|owed| !matches!(owed, Owed::Ready(_))).count();
+    }
+
+    /// The longest command that is read: no longer than there is room for it.
+    fn frame_limit(&self) -> usize {
+        match &self.large {
+            Some(room) => room.num_permits().max(UNTOLD),
+            None => LARGEST,
+        }
+    }
+
     /// Whether another command may be begun.
     fn may_begin(&self) -> bool {
         let room = || self.shared.held.load(Ordering::Relaxed) < self.shared.bounds.memory / 2;
@@ -501,11 +567,9 @@
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new(); // what has grown goes back
         }
-        if self.buffer.len() < SMALL {
-            self.large = None;
-        }
         if self.buffer.len() < before {
             self.since = Instant::now();
+            self.large = None; // it was for the command that has gone; the next one tells anew
         }
     }
 
@@ -515,8 +579,8 @@
             if !self.may_begin() {
                 return false;
             }
-            let before = self.buffer.len();
-            let owed = match next_frame(&mut self.buffer, FRAME_LIMIT).map(|f| f.map(arguments)) {
+            let (before, limit) = (self.buffer.len(), self.frame_limit());
+            let owed = match next_frame(&mut self.buffer, limit).map(|f| f.map(arguments)) {
                 Ok(None) => return false,
                 Ok(Some(Ok(parts))) => self.command(&parts, before - self.buffer.len()),
                 Ok(Some(Err(Malformed))) | Err(Malformed) => {
@@ -552,6 +616,7 @@
         }
         // Guards against: the answer to another client's request, or one for both.
         let open_id = OpenId::take(&command.id, &self.shared.open_ids).ok_or(CommandError::InUse)?;
+        let room = if length >= SMALL { self.large.take() } else { None };
         let in_flight = InFlight::new(&self.shared.metrics);
         let held = Held::new(PER_REQUEST + length, &self.shared.held);
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
@@ -561,10 +626,35 @@
         let _ = self.shared.to.send(Message::Arrived(arrival));
         self.open += 1;
         self.asked = true;
-        Ok(Owed::Waiting(Pending { id, answer, _open_id: open_id, _held: held, _in_flight: in_flight }))
+        Ok(Owed::Waiting(Pending {
+            id,
+            answer,
+            _open_id: open_id,
+            _held: held,
+            _room: room,
+            _in_flight: in_flight,
+        }))
     }
 }
 
+/// How long a write says that it is, by its head.
+fn announced(buffer: &[u8]) -> Option<usize> {
+    let head = &buffer[..buffer.len().min(ARGUMENTS + 256)];
+    let mut at = head.strip_prefix(b"*5\r\n").map(|_| 4)?;
+    for _ in 0..4 {
+        at = next_word(head, at)?;
+    }
+    next_word(head, at).filter(|&all| all <= LARGEST)
+}
+
+/// Where the word that begins here says that it ends.
+fn next_word(head: &[u8], at: usize) -> Option<usize> {
+    let rest = head.get(at..)?.strip_prefix(b"$")?;
+    let end = rest.windows(2).position(|pair| pair == b"\r\n")?;
+    let length: usize = str::from_utf8(&rest[..end]).ok()?.parse().ok()?;
+    (at + 1 + end + 4).checked_add(length)
+}
+
 /// A command's words: an array of bulk strings.
 fn arguments(frame: BytesFrame) -> Result<Vec<Bytes>, Malformed> {
     let BytesFrame::Array(parts) = frame else { return Err(Malformed) };
@@ -576,12 +666,16 @@
 }
 
 /// The next answer in order. Cancelled between, it loses nothing.
-async fn next(owed: &mut VecDeque<Owed>) -> BytesFrame {
+async fn next(owed: &mut VecDeque<Owed>) -> Outgoing {
     let answer = match owed.front_mut() {
-        Some(Owed::Waiting(pending)) => (&mut pending.answer).await.unwrap_or(Answer::Failed).into(),
-        Some(Owed::Ready(frame)) => frame.clone(),
+        Some(Owed::Waiting(pending)) => Some((&mut pending.answer).await.unwrap_or(Answer::Failed)),
+        Some(Owed::Ready(_) | Owed::Coming(..)) => None,
         None => std::future::pending().await,
     };
-    owed.pop_front();
-    answer
+    match (owed.pop_front(), answer.map(Answer::outgoing)) {
+        (Some(Owed::Waiting(pending)), Some(Err(stream))) => Outgoing::Value(stream, pending),
+        (Some(Owed::Coming(stream, pending)), _) => Outgoing::Value(stream, pending),
+        (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame),
+        (_, _) => std::future::pending().await,
+    }
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -14,6 +14,7 @@
 use super::discovery::List;
 use super::handover;
 use super::operator::CALLERS;
+use super::relay::Budget;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listeners, discovery, the runtimes' own, operators, and one to spare for a connection that is turned away.
@@ -179,6 +180,11 @@
         Bounds { connections, with_servers, resting, to_servers, memory: self.memory / 4 }
     }
 
+    /// What long values on their way may take: a quarter of the memory.
+    pub fn relay_budget(&self) -> Budget {
+        Budget::new(self.memory / 4)
+    }
+
     /// Most connections to servers.
     pub fn server_connections(&self) -> usize {
         (self.sockets - self.sockets / 3) / self.processes - RESERVED
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -23,6 +23,7 @@
 use super::discovery::List;
 use super::log;
 use super::metrics::{Metrics, Outcomes};
+use super::relay::{Budget, Pass, Stream};
 use super::state::Orders;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -41,6 +42,8 @@
 pub enum Message {
     Arrived(Arrival),
     Gone(RequestId),
+    /// The value of an attempt has begun to come.
+    Begun(RequestId, usize, Stream),
     Ended(Ended),
     List(List),
     ListFailed,
@@ -106,7 +109,10 @@
 struct Running {
     sent: Instant,
     task: AbortHandle,
-    timer: delay_queue::Key,
+    /// When it is given up; nothing once its value has begun to come.
+    timer: Option<delay_queue::Key>,
+    /// After what time its value began to come.
+    begun: Option<Duration>,
 }
 
 enum Due {
@@ -134,6 +140,7 @@
 
 /// How the driver hangs together with the other parts.
 pub struct Wiring {
+    pub budget: Budget,
     pub metrics: Arc<Metrics>,
     /// How many connections to servers there are, for the clients' side.
     pub held: Arc<AtomicUsize>,
@@ -152,6 +159,7 @@
     clock: Clock,
     directory: Directory,
     open: HashMap<RequestId, Open>,
+    budget: Budget,
     /// Attempts under way: each holds a connection, or is making one.
     running: usize,
     connections: usize,
@@ -173,7 +181,7 @@
 impl Driver {
     /// A driver that holds so many connections to servers at most.
     pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
-        let Wiring { metrics, held, subscribe, to_self, inbox, control } = wiring;
+        let Wiring { budget, metrics, held, subscribe, to_self, inbox, control } = wiring;
         let (clock, settings) = (Clock::new(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive));
         let mut driver = Driver {
@@ -183,6 +191,7 @@
             clock,
             directory,
             open: HashMap::new(),
+            budget,
             running: 0,
             connections,
             held,
@@ -271,6 +280,7 @@
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Gone(id) => self.gone(id),
+            Message::Begun(id, attempt, stream) => self.begun(id, attempt, stream),
             Message::Ended(ended) => self.ended(ended),
             Message::List(list) => self.list(list),
             Message::ListFailed => {
@@ -371,7 +381,7 @@
         if let Some(sender) = open.answer.take() {
             if let Some(outcomes) = &open.outcomes {
                 let figure = match &answer {
-                    Answer::Served(_) => &outcomes.served,
+                    Answer::Served(_) | Answer::Stream(_) => &outcomes.served,
                     Answer::Busy(_) => &outcomes.refused,
                     Answer::Failed => &outcomes.failed,
                 };
@@ -409,7 +419,7 @@
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { sent: now, task, timer }));
+        open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), begun: None }));
         self.running += 1;
     }
 
@@ -425,10 +435,14 @@
         let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
         let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
         let metrics = self.metrics.clone();
+        let begun = self.to_self.clone();
+        // A driver that is gone drops the stream, and the attempt ends.
+        let begin = move |stream| _ = begun.send(Message::Begun(id, attempt, stream));
+        let pass = Pass { budget: self.budget.clone(), begin: Box::new(begin) };
         let work = async move {
             let addr = target.addr;
             let (reply, connection) =
-                attempt::run(target, pooled, &command, wait, connect_timeout, &metrics.calls).await;
+                attempt::run(target, pooled, &command, wait, connect_timeout, &metrics.calls, pass).await;
             let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
         };
         tokio::spawn(work).abort_handle()
@@ -445,8 +459,8 @@
     fn give_up(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
         let Some(running) = self.close(id, attempt) else { return };
         running.task.abort();
-        if outcome != Outcome::TimedOut {
-            self.timers.try_remove(&running.timer);
+        if let Some(timer) = running.timer.filter(|_| outcome != Outcome::TimedOut) {
+            self.timers.try_remove(&timer);
         }
         self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
     }
@@ -458,11 +472,37 @@
             self.directory.check_in(server, addr, connection, Instant::now());
         }
         let Some(running) = running else { return }; // given up before: a late outcome changes nothing
-        self.timers.try_remove(&running.timer);
-        if reply.outcome == Outcome::Ok {
-            self.answer(id, Answer::Served(reply.value));
+        if let Some(timer) = running.timer {
+            self.timers.try_remove(&timer);
+        }
+        match running.begun {
+            Some(_) => self.count_end(id, reply.outcome == Outcome::Ok),
+            None if reply.outcome == Outcome::Ok => self.answer(id, Answer::Served(reply.value)),
+            None => {}
+        }
+        // How long a long value takes tells of its length and its client, not of the server.
+        let elapsed = running.begun.unwrap_or_else(|| running.sent.elapsed());
+        self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
+    }
+
+    /// The first value to begin is the answer, whatever becomes of it. Others are dropped, and end for it.
+    fn begun(&mut self, id: RequestId, attempt: usize, stream: Stream) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(Some(running)) = open.attempts.get_mut(attempt) else { return }; // given up before
+        let Some(sender) = open.answer.take() else { return };
+        if let Some(timer) = running.timer.take() {
+            self.timers.try_remove(&timer);
+        }
+        running.begun = Some(running.sent.elapsed());
+        let _ = sender.send(Answer::Stream(stream)); // the client may have left
+        self.events.push_back(Event::FirstByte { id, attempt });
+    }
+
+    /// Counts how a value ended that had begun to come.
+    fn count_end(&self, id: RequestId, whole: bool) {
+        if let Some(outcomes) = self.open.get(&id).and_then(|open| open.outcomes.as_ref()) {
+            if whole { outcomes.served.add_one() } else { outcomes.failed.add_one() }
         }
-        self.tell_end(id, attempt, reply.outcome, running.sent.elapsed(), reply.hit);
     }
 
     fn tell_end(
@@ -473,7 +513,9 @@
         elapsed: Duration,
         hit: Option<bool>,
     ) {
-        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none());
+        // A value that has begun to come is not the end yet.
+        let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.begun.is_some());
+        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
         let elapsed = elapsed.as_micros() as Micros;
         let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
         self.events.push_back(Event::Outcome(end));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod operator;
 mod origin;
+mod relay;
 mod reload;
 mod resp;
 mod seats;
@@ -76,9 +77,11 @@
     });
     tokio::spawn(follow_orders(store.clone(), control.clone()));
     let operator = config.operator;
+    let budget = config.relay_budget();
     let file = std::mem::take(&mut config.file);
     let serving = Arc::new(AtomicBool::new(false));
     let wiring = Wiring {
+        budget: budget.clone(),
         metrics: metrics.clone(),
         held: to_servers,
         subscribe,
@@ -100,8 +103,15 @@
 
     let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
-    let clients =
-        clients::Clients::new(sender, bounds, terms.clone(), closing.clone(), sessions.clone(), metrics);
+    let clients = clients::Clients::new(
+        sender,
+        bounds,
+        terms.clone(),
+        closing.clone(),
+        sessions.clone(),
+        metrics,
+        budget,
+    );
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
     tokio::select! {
--- a/src/node/origin.rs
+++ b/src/node/origin.rs
@@ -3,9 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
@@ -13,10 +13,12 @@
 use stonefold::Outcome;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use super::attempt::Reply;
-use super::clients::{Command, VALUE_LIMIT};
+use super::clients::Command;
 use super::metrics::Figure;
+use super::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 
 /// A connection between requests.
 pub struct Connection {
@@ -33,7 +35,11 @@
 
 impl Connection {
     pub async fn new(stream: TcpStream) -> io::Result<Self> {
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(CHUNK)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // a break shows in the request that is out
         });
@@ -50,6 +56,7 @@
         command: &Command,
         addr: SocketAddr,
         written: &Figure,
+        pass: Pass,
     ) -> (Reply, Option<Self>) {
         let Some(request) = request(command, addr) else { return (Reply::of(Outcome::Ignored), Some(self)) };
         if self.sender.ready().await.is_err() {
@@ -63,7 +70,7 @@
                 Some(_) => (Reply::of(Outcome::ConnectError), None),
                 None => (Reply::of(Outcome::Reset), None),
             },
-            Ok(answer) => match read(answer).await {
+            Ok(answer) => match read(answer, pass).await {
                 Ok(reply) => (reply, Some(self)),
                 // Guards against: the rest of such an answer, read as the next one's.
                 Err(outcome) => (Reply::of(outcome), None),
@@ -72,6 +79,63 @@
     }
 }
 
+/// A body whose length was not told.
+enum Collected {
+    Short(Bytes),
+    /// Passed on, once it was known how long it is.
+    Long,
+}
+
+/// Reads a body to its end. RESP2 wants a value's length first: one that is long, and doesn't tell it, is held
+/// whole, for which room is reserved once.
+async fn collect(mut body: Incoming, is_value: bool, pass: Pass) -> Result<Collected, Outcome> {
+    let (mut whole, mut room) = (BytesMut::new(), None);
+    while let Some(frame) = timeout(STUCK, body.frame()).await.map_err(|_| Outcome::Reset)? {
+        let Ok(bytes) = frame.map_err(|_| Outcome::Reset)?.into_data() else { continue };
+        let length = whole.len() + bytes.len();
+        if length > VALUE_LIMIT || length > WHOLE && !is_value {
+            return Err(Outcome::Failed);
+        }
+        if length > WHOLE && room.is_none() {
+            room = Some(pass.budget.room(VALUE_LIMIT).await.map_err(|_| Outcome::Reset)?);
+            whole.reserve(VALUE_LIMIT - whole.len());
+        }
+        whole.extend_from_slice(&bytes);
+    }
+    Ok(match room {
+        Some(room) => {
+            (pass.begin)(relay::whole(whole.freeze(), room));
+            Collected::Long
+        }
+        None => Collected::Short(whole.freeze()),
+    })
+}
+
+/// Passes a long value on as it comes.
+async fn stream(mut body: Incoming, length: usize, pass: Pass) -> Result<Reply, Outcome> {
+    let Pass { budget, begin } = pass;
+    let (sink, stream) = way(length);
+    let (mut begin, mut left) = (Some((begin, stream)), length);
+    while left > 0 {
+        let frame = tokio::select! {
+            frame = timeout(STUCK, body.frame()) => frame,
+            () = sink.left() => return Err(Outcome::Canceled),
+        };
+        let frame = frame.ok().flatten().and_then(Result::ok).ok_or(Outcome::Reset)?;
+        let Ok(mut bytes) = frame.into_data() else { continue };
+        left = left.checked_sub(bytes.len()).ok_or(Outcome::Failed)?;
+        while !bytes.is_empty() {
+            let chunk =
+                budget.hold(bytes.split_to(bytes.len().min(CHUNK))).await.map_err(|_| Outcome::Reset)?;
+            if let Some((begin, stream)) = begin.take() {
+                begin(stream);
+            }
+            sink.give(chunk).await.map_err(|Left| Outcome::Canceled)?;
+        }
+    }
+    Ok(Reply::of(Outcome::Ok))
+}
+
 fn request(command: &Command, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
     let method = if command.value.is_some() { Method::PUT } else { Method::GET };
     Request::builder()
@@ -85,13 +149,18 @@
 }
 
 /// What an answer means; an error if its connection is of no further use.
-async fn read(answer: Response<Incoming>) -> Result<Reply, Outcome> {
+async fn read(answer: Response<Incoming>, pass: Pass) -> Result<Reply, Outcome> {
     let (status, headers) = (answer.status(), answer.headers());
     let never_ran = headers.get("X-Unprocessed").is_some_and(|v| v == "1");
-    let body = match Limited::new(answer.into_body(), VALUE_LIMIT).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<hyper::Error>() => return Err(Outcome::Reset),
-        Err(_) => return Err(Outcome::Failed), // too long for a value
+    if status == StatusCode::OK
+        && let Some(length) = answer.body().size_hint().exact().and_then(|n| usize::try_from(n).ok())
+        && (WHOLE + 1..=VALUE_LIMIT).contains(&length)
+    {
+        return stream(answer.into_body(), length, pass).await;
+    }
+    let body = match collect(answer.into_body(), status == StatusCode::OK, pass).await? {
+        Collected::Short(body) => body,
+        Collected::Long => return Ok(Reply::of(Outcome::Ok)),
     };
     Ok(match status {
         StatusCode::OK => Reply { value: body, ..Reply::of(Outcome::Ok) },
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -350,6 +350,16 @@
         let value = bytes(&mut self.reader, length.parse().unwrap())?;
         line(&mut self.reader).map(|_| value)
     }
+    /// The next line.
+    pub fn line(&mut self) -> String {
+        line(&mut self.reader).expect("a line")
+    }
+    /// How many bytes come until the node closes.
+    pub fn rest_of_stream(&mut self) -> usize {
+        let mut rest = Vec::new();
+        let _ = self.reader.read_to_end(&mut rest); // a reset is a close too
+        rest.len()
+    }
     /// An answer, if one has begun to come.
     pub fn try_answer(&mut self) -> Option<String> {
         let stream = self.reader.get_ref();
