--- a/src/brain.rs
+++ b/src/brain.rs
@@ -158,10 +158,13 @@
     fn members(&mut self, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
         if scope == ListScope::Failed {
             // Asked again soon at first, then more rarely, and never so rarely that the list counts as told.
+            // Full jitter. Guards against: a herd that was turned away together and comes back together.
             let failures = self.list_failures.map_or(1, |n| n + 1).min(4);
             self.list_failures = Some(failures);
-            let wait = (self.settings.must_ask_in / 32) << failures;
-            let after = (wait / 2 + self.rng.u64(0..=wait / 2)).max(self.settings.quantum);
+            // All nodes share one discovery: the more there are, the more rarely each asks.
+            let nodes = (self.settings.nodes as u64 / 8).clamp(1, 8);
+            let wait = ((nodes * self.settings.must_ask_in / 32) << failures).min(self.settings.must_ask_in);
+            let after = self.rng.u64(0..=wait).max(self.settings.quantum);
             return out.push(Action::SetTimer { after, token: LIST_TIMER });
         }
         self.list_failures = self.list_failures.map(|_| 0);
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -21,13 +21,19 @@
 use super::driver::Message;
 use super::log;
 
-/// How long a watch waits for news, and how much longer the answer may take. Guards against: a discovery
-/// that has fallen silent and is believed to have no news for long; what it has to tell counts as told
-/// after 6 s, and 4 s after a reload.
+/// How long a watch waits for news in a small fleet. Guards against: a discovery that has fallen silent and is
+/// believed to have no news for long.
 const WAIT: Duration = Duration::from_secs(2);
-const ANSWER: Duration = Duration::from_secs(1);
-/// A failed call is repeated after this time: a watch goes on only if its next call comes within 200 ms.
+/// The more nodes, the longer: all share one discovery, which answers so many of them for each wait ...
+const NODES_A_WAIT: u32 = 8;
+/// ... and what it has to tell counts as told only once the wait is over.
+const LONGEST_WAIT: Duration = Duration::from_secs(20);
+/// How long the whole list may take, since callers wait in turn, and how much longer a watch than it waits.
+const ANSWER: Duration = Duration::from_secs(2);
+const LATE: Duration = Duration::from_secs(1);
+/// Where nobody says when to call again: the first and the longest pause after failed calls, with full jitter.
 const PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Larger lists are not believed.
 const LARGEST: usize = 4 << 20;
 
@@ -110,6 +116,10 @@
     whole: bool,
     /// Whether the next call must wait until it is due.
     held: bool,
+    /// Calls that failed in a row.
+    failed: u32,
+    wait: Duration,
+    rng: fastrand::Rng,
     /// Whether entries that can't be read have been spoken of.
     complained: bool,
 }
@@ -123,9 +133,25 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 impl Watch {
-    pub fn new(asked: Option<Arc<Notify>>, after: u64, to: UnboundedSender<Message>) -> Self {
-        let held = asked.is_some();
-        Watch { asked, after, to, connection: None, whole: true, held, complained: false }
+    /// A watch for one of so many nodes, which follows on a version of the list.
+    pub fn new(
+        asked: Option<Arc<Notify>>,
+        after: u64,
+        nodes: usize,
+        seed: u64,
+        to: UnboundedSender<Message>,
+    ) -> Self {
+        let (held, connection) = (asked.is_some(), None);
+        let shares = u32::try_from(nodes).unwrap_or(u32::MAX).div_ceil(NODES_A_WAIT).max(1);
+        let wait = WAIT.saturating_mul(shares).min(LONGEST_WAIT);
+        let rng = fastrand::Rng::with_seed(seed);
+        Watch { asked, after, to, connection, whole: true, held, failed: 0, wait, rng, complained: false }
+    }
+
+    /// Full jitter over a time that doubles with each failure.
+    fn pause(&mut self) -> Duration {
+        let most = PAUSE.saturating_mul(1 << self.failed.min(10)).min(LONGEST_PAUSE);
+        most.mul_f64(self.rng.f64())
     }
 
     /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list. A
@@ -151,16 +177,20 @@
     async fn call(&mut self, at: SocketAddr) -> Message {
         match &self.asked {
             Some(asked) if self.held => asked.notified().await,
-            None if self.held => sleep(PAUSE).await,
+            None if self.held => {
+                let pause = self.pause();
+                sleep(pause).await;
+            }
             _ => {}
         }
         let path = match self.whole {
             true => "/discovery/hosts".to_owned(),
-            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, WAIT.as_millis()),
+            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, self.wait.as_millis()),
         };
-        let limit = if self.whole { ANSWER } else { WAIT + ANSWER };
+        let limit = if self.whole { ANSWER } else { self.wait + LATE };
         let told = timeout(limit, self.fetch(at, &path)).await.unwrap_or_else(|late| Err(late.into()));
         self.held = told.is_err();
+        self.failed = if told.is_err() { self.failed.saturating_add(1) } else { 0 };
         match told {
             Ok(list) => {
                 (self.whole, self.after) = (false, list.version);
@@ -208,3 +238,34 @@
     });
     Ok(Client { sender, _task: AbortOnDropHandle::new(task) })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    fn watch(nodes: usize, seed: u64) -> Watch {
+        Watch::new(None, 0, nodes, seed, unbounded_channel().0)
+    }
+
+    #[test]
+    fn the_more_nodes_the_longer_a_watch_waits_up_to_a_bound() {
+        let waits = [1, 8, 9, 48, 10_000].map(|nodes| watch(nodes, 1).wait.as_secs());
+        assert_eq!(waits, [2, 2, 4, 12, 20]);
+    }
+
+    #[test]
+    fn nodes_that_were_turned_away_together_come_back_apart_and_ever_later() {
+        let pauses = |failed| {
+            let of = |seed| Watch { failed, ..watch(48, seed) }.pause();
+            let mut all: Vec<Duration> = (0..100).map(of).collect();
+            all.sort();
+            all
+        };
+        let (first, later) = (pauses(1), pauses(4));
+        assert!(first[99] <= PAUSE * 2 && later[99] <= PAUSE * 16);
+        assert!(later[50] > first[99], "later: {:?}", later[50]);
+        assert!(later[10] < later[99] / 4 && later[90] > later[99] / 2, "spread over all of the time");
+        assert!(pauses(u32::MAX)[99] <= LONGEST_PAUSE);
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -61,7 +61,13 @@
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
     let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
-    let watching = discovery::Watch::new(asked, config.known.version, sender.clone());
+    let watching = discovery::Watch::new(
+        asked,
+        config.known.version,
+        config.setup.settings.nodes,
+        config.seed,
+        sender.clone(),
+    );
     let (new_address, address) = watch::channel(config.discovery);
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -612,3 +612,23 @@
     assert!(sent(&node.request(1002, "k", 3, false)).is_some());
     node.end(1002, 0, Outcome::Ok, 10_000);
 }
+
+// ---- discovery in a herd ----
+
+#[test]
+fn the_more_nodes_the_more_rarely_a_list_that_failed_is_asked_for() {
+    let mean = |nodes| {
+        let settings = Settings { must_subscribe: true, nodes, ..settings(Mode::Through) };
+        let wait = |seed| {
+            let mut balancer = Balancer::new(settings.clone(), seed, 0);
+            let mut actions = Vec::new();
+            let members = Vec::new();
+            balancer.on_event(0, Event::Members { scope: ListScope::Failed, members }, &mut actions);
+            timer(&actions).expect("it is asked for again").0
+        };
+        (0..200).map(wait).sum::<Micros>() / 200
+    };
+    let (few, many) = (mean(4), mean(48));
+    assert!(many > 4 * few, "{few} and {many}");
+    assert!(mean(100_000) <= settings(Mode::Through).must_ask_in);
+}
