Let a long write wait for room as long as it takes

A client whose long write found no room was taken for a silent one and closed after 2.5 s. The test was red before.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -467,6 +467,7 @@
                 Ok(room) = budget.room(wanted), if reading && !roomy => {
                     self.buffer.reserve(wanted.saturating_sub(self.buffer.len()));
                     (self.large, self.come) = (Some(room), self.buffer.len());
+                    self.since = Instant::now(); // it was we who let the client wait
                 }
                 outgoing = next(&mut self.owed), if !unowed => {
                     match outgoing {
@@ -508,7 +509,9 @@
     /// Guards against: silent connections and halves of commands, which would be held for ever, and an error
     /// that waits behind an answer which is long in coming.
     fn may_give_up(&self) -> bool {
-        self.broken.is_some() || self.owed.is_empty() && (!self.heard || !self.buffer.is_empty())
+        let waits_for_us = self.buffer.len() >= SMALL && self.large.is_none();
+        let silent = self.owed.is_empty() && (!self.heard || !self.buffer.is_empty());
+        self.broken.is_some() || silent && !waits_for_us
     }
 
     fn give_up_at(&self) -> Instant {
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -190,6 +190,7 @@
     pub known: &'a str,
     pub discovery: SocketAddr,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub settings: &'a str,
     pub shell: &'a str,
     /// Whether operators may call.
@@ -212,6 +213,7 @@
             known,
             discovery,
             sockets: 1024,
+            memory_mb: 192,
             settings: SETTINGS,
             shell: "exec \"$0\"",
             operator: false,
@@ -221,9 +223,9 @@
     }
 
     pub fn node(self) -> Node {
-        let Start { known, discovery, sockets, settings, shell, operator, passed, shared } = self;
+        let Start { known, discovery, sockets, memory_mb, settings, shell, operator, passed, shared } = self;
         let config = format!(
-            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{known},"settings":{settings}}}"#
         );
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), config).unwrap();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -837,3 +837,25 @@
     winner.answer(format!("{}\r\n$3\r\nhit\r\n$-1\r\n", &value[70_000..]));
     assert!(reading.join().unwrap().is_some_and(|answer| answer == value));
 }
+
+#[test]
+fn a_long_write_that_finds_no_room_waits_for_it_however_long_that_takes() {
+    let s = stage(1);
+    let known = list(41, &named(&s.caches), s.origin.addr);
+    // Room for one of the longest values.
+    let node = Start { memory_mb: 8, ..Start::new(&known, s.discovery.addr) }.node();
+    let text = |id: &str| words(&["CACHE.SET", "k", id, "c=put,d=60000", &long_value()]);
+    let (mut first, mut second) = (node.client(), node.client());
+    first.write(text("i1"));
+    let holds_the_room = s.origin.call();
+    let waiting = thread::spawn(move || {
+        second.write(text("i2"));
+        second.answer()
+    });
+    thread::sleep(Duration::from_millis(2700)); // longer than who is silent is waited for
+    assert!(s.origin.called().is_none(), "both at once");
+    holds_the_room.http("200 OK", "one");
+    assert_eq!(first.answer().as_deref(), Some("one"));
+    s.origin.call().http("200 OK", "two");
+    assert_eq!(waiting.join().unwrap().as_deref(), Some("two"));
+}
