Keep a request and its answer apart from the protocol it came by

What the driver and the attempts see of a request no longer lives with the RESP2 code of clients; how a cache or the origin is asked lives with each of them. Moved, not changed.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -9,10 +9,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::clients::Command;
 use super::directory::Target;
 use super::metrics::Figure;
 use super::relay::Pass;
+use super::request::Command;
 use super::{caches, origin};
 
 /// A connection to a server, between requests.
@@ -70,8 +70,7 @@
     }
     match connection {
         Connection::Cache(connection) => {
-            let (reply, connection) =
-                connection.ask(command.for_cache(wait), command.value.as_ref(), written, pass).await;
+            let (reply, connection) = connection.ask(command, wait, written, pass).await;
             (reply, connection.map(Connection::Cache))
         }
         Connection::Origin(connection) => {
--- a/src/node/caches.rs
+++ b/src/node/caches.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::str;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
@@ -15,6 +16,7 @@
 use super::attempt::Reply;
 use super::metrics::Figure;
 use super::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
+use super::request::Command;
 use super::resp::{Malformed, next_frame};
 
 /// A value that is passed on whole, and what stands round it.
@@ -38,15 +40,15 @@
     /// Sends one request and waits for its answer.
     pub async fn ask(
         mut self,
-        head: Bytes,
-        value: Option<&Bytes>,
+        command: &Command,
+        wait: Duration,
         written: &Figure,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
         // Broken before the last byte was written: it never ran. After that it may have.
         let write = async {
-            self.0.write_all(&head).await?;
-            if let Some(value) = value {
+            self.0.write_all(&head(command, wait)).await?;
+            if let Some(value) = &command.value {
                 self.0.write_all(value).await?;
                 self.0.write_all(b"\r\n").await?;
             }
@@ -183,3 +185,25 @@
         _ => Err(Malformed),
     }
 }
+
+/// The command up to its value: as it came, but for how long the node will wait.
+fn head(command: &Command, wait: Duration) -> Bytes {
+    let wait = format!("d={}", wait.as_millis().max(1));
+    let facts = command.facts.split(|&b| b == b',').map(|fact| match fact.starts_with(b"d=") {
+        true => wait.as_bytes(),
+        false => fact,
+    });
+    let facts = facts.collect::<Vec<_>>().join(&b","[..]);
+    let name = if command.value.is_some() { "CACHE.SET" } else { "CACHE.GET" };
+    let words = [name.as_bytes(), command.key.as_bytes(), &command.id[..], &facts[..]];
+    let mut text = BytesMut::from(if command.value.is_some() { "*5\r\n" } else { "*4\r\n" });
+    for word in words {
+        text.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        text.extend_from_slice(word);
+        text.extend_from_slice(b"\r\n");
+    }
+    if let Some(value) = &command.value {
+        text.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+    }
+    text.freeze()
+}
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -8,7 +8,6 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
-use percent_encoding::{AsciiSet, CONTROLS, PercentEncode, percent_encode};
 use redis_protocol::resp2::encode::extend_encode;
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold::{Micros, RequestId};
@@ -25,6 +24,7 @@
 use super::log;
 use super::metrics::{InFlight, Metrics};
 use super::relay::{Budget, CHUNK, LARGEST, Room, STUCK, Stream, VALUE_LIMIT, WHOLE};
+use super::request::{Answer, Command};
 use super::resp::{Malformed, next_frame};
 use super::seats::{Guest, Seat, Seats};
 
@@ -51,95 +51,36 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// The longest wait that is believed.
 const LONGEST: Micros = 3_600_000_000;
-/// What a key may not show in a path.
-const ESCAPED: &AsciiSet = &CONTROLS
-    .add(b' ')
-    .add(b'"')
-    .add(b'#')
-    .add(b'%')
-    .add(b'<')
-    .add(b'>')
-    .add(b'?')
-    .add(b'`')
-    .add(b'{')
-    .add(b'}');
-
-/// A client's request as it came.
-#[derive(Debug)]
-pub struct Command {
-    pub key: String,
-    pub id: Bytes,
-    /// Names and values.
-    pub facts: Bytes,
-    /// What a write stores.
-    pub value: Option<Bytes>,
-    /// How long the client will wait.
-    pub wait: Micros,
-}
 
-impl Command {
-    fn parse(parts: &[Bytes]) -> Result<Command, CommandError> {
-        let Some((name, rest)) = parts.split_first() else { return Err(CommandError::Unknown) };
-        let (key, id, facts, value) = match rest {
-            [key, id, facts] if name.eq_ignore_ascii_case(b"CACHE.GET") => (key, id, facts, None),
-            [key, id, facts, value] if name.eq_ignore_ascii_case(b"CACHE.SET") => {
-                (key, id, facts, Some(value.clone()))
-            }
-            _ if name.eq_ignore_ascii_case(b"CACHE.GET") || name.eq_ignore_ascii_case(b"CACHE.SET") => {
-                return Err(CommandError::Arguments);
-            }
-            _ => return Err(CommandError::Unknown),
-        };
-        if value.as_ref().is_some_and(|value| value.len() > VALUE_LIMIT) {
-            return Err(CommandError::TooLong);
+/// Reads a command's words.
+fn parse_command(parts: &[Bytes]) -> Result<Command, CommandError> {
+    let Some((name, rest)) = parts.split_first() else { return Err(CommandError::Unknown) };
+    let (key, id, facts, value) = match rest {
+        [key, id, facts] if name.eq_ignore_ascii_case(b"CACHE.GET") => (key, id, facts, None),
+        [key, id, facts, value] if name.eq_ignore_ascii_case(b"CACHE.SET") => {
+            (key, id, facts, Some(value.clone()))
         }
-        // Both go on in headers.
-        let plain = |text: &Bytes| !text.is_empty() && HeaderValue::from_bytes(text).is_ok();
-        let key = str::from_utf8(key).ok().filter(|key| !key.is_empty()).ok_or(CommandError::Arguments)?;
-        if !plain(id) || !plain(facts) || key.len() + id.len() + facts.len() > ARGUMENTS {
+        _ if name.eq_ignore_ascii_case(b"CACHE.GET") || name.eq_ignore_ascii_case(b"CACHE.SET") => {
             return Err(CommandError::Arguments);
         }
-        // Copied, so that they don't hold on to the whole of what was read with them.
-        let (key, [id, facts]) = (key.to_owned(), [id, facts].map(|text| Bytes::copy_from_slice(text)));
-        let mut command = Command { key, id, facts, value, wait: 0 };
-        let wait = command.fact("d").and_then(|d| d.parse::<f64>().ok());
-        let ms = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).ok_or(CommandError::Wait)?;
-        command.wait = ((ms * 1000.0) as Micros).min(LONGEST);
-        Ok(command)
-    }
-
-    /// A value by its name.
-    pub fn fact(&self, name: &str) -> Option<&str> {
-        let facts = str::from_utf8(&self.facts).ok()?;
-        facts.split(',').find_map(|fact| fact.split_once('=').filter(|f| f.0 == name).map(|f| f.1))
-    }
-
-    /// The key as a path.
-    pub fn path_key(&self) -> PercentEncode<'_> {
-        percent_encode(self.key.as_bytes(), ESCAPED)
+        _ => return Err(CommandError::Unknown),
+    };
+    if value.as_ref().is_some_and(|value| value.len() > VALUE_LIMIT) {
+        return Err(CommandError::TooLong);
     }
-
-    /// The command for a cache up to its value: as it came, but for how long the node will wait.
-    pub fn for_cache(&self, wait: Duration) -> Bytes {
-        let wait = format!("d={}", wait.as_millis().max(1));
-        let facts = self.facts.split(|&b| b == b',').map(|fact| match fact.starts_with(b"d=") {
-            true => wait.as_bytes(),
-            false => fact,
-        });
-        let facts = facts.collect::<Vec<_>>().join(&b","[..]);
-        let name = if self.value.is_some() { "CACHE.SET" } else { "CACHE.GET" };
-        let words = [name.as_bytes(), self.key.as_bytes(), &self.id[..], &facts[..]];
-        let mut text = BytesMut::from(if self.value.is_some() { "*5\r\n" } else { "*4\r\n" });
-        for word in words {
-            text.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
-            text.extend_from_slice(word);
-            text.extend_from_slice(b"\r\n");
-        }
-        if let Some(value) = &self.value {
-            text.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
-        }
-        text.freeze()
+    // Both go on in headers.
+    let plain = |text: &Bytes| !text.is_empty() && HeaderValue::from_bytes(text).is_ok();
+    let key = str::from_utf8(key).ok().filter(|key| !key.is_empty()).ok_or(CommandError::Arguments)?;
+    if !plain(id) || !plain(facts) || key.len() + id.len() + facts.len() > ARGUMENTS {
+        return Err(CommandError::Arguments);
     }
+    // Copied, so that they don't hold on to the whole of what was read with them.
+    let (key, [id, facts]) = (key.to_owned(), [id, facts].map(|text| Bytes::copy_from_slice(text)));
+    let mut command = Command { key, id, facts, value, wait: 0 };
+    let wait = command.fact("d").and_then(|d| d.parse::<f64>().ok());
+    let ms = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).ok_or(CommandError::Wait)?;
+    command.wait = ((ms * 1000.0) as Micros).min(LONGEST);
+    Ok(command)
 }
 
 /// Why a whole command can't be carried out.
@@ -168,27 +109,15 @@
     }
 }
 
-/// The final answer to a request.
-pub enum Answer {
-    Served(Bytes),
-    /// Served, in so far as the rest comes.
-    Stream(Stream),
-    /// Refused; the client should stay away so long, if that is not 0.
-    Busy(Micros),
-    Failed,
-}
-
-impl Answer {
-    /// What goes out at once, or the value that comes by and by.
-    fn outgoing(self) -> Result<BytesFrame, Stream> {
-        Ok(match self {
-            Answer::Stream(stream) => return Err(stream),
-            Answer::Served(value) => BytesFrame::BulkString(value),
-            Answer::Busy(0) => BytesFrame::Error("BUSY".into()),
-            Answer::Busy(wait) => BytesFrame::Error(format!("BUSY {}", wait.div_ceil(1000)).into()),
-            Answer::Failed => BytesFrame::Error("ERR failed".into()),
-        })
-    }
+/// What goes out at once, or the value that comes by and by.
+fn outgoing(answer: Answer) -> Result<BytesFrame, Stream> {
+    Ok(match answer {
+        Answer::Stream(stream) => return Err(stream),
+        Answer::Served(value) => BytesFrame::BulkString(value),
+        Answer::Busy(0) => BytesFrame::Error("BUSY".into()),
+        Answer::Busy(wait) => BytesFrame::Error(format!("BUSY {}", wait.div_ceil(1000)).into()),
+        Answer::Failed => BytesFrame::Error("ERR failed".into()),
+    })
 }
 
 fn encode(text: &mut BytesMut, frame: &BytesFrame) {
@@ -526,7 +455,7 @@
             let frame = match self.owed.front_mut() {
                 Some(Owed::Ready(frame)) => std::mem::replace(frame, BytesFrame::Null),
                 Some(Owed::Waiting(pending)) => match pending.answer.try_recv() {
-                    Ok(answer) => match answer.outgoing() {
+                    Ok(answer) => match outgoing(answer) {
                         Ok(frame) => frame,
                         Err(stream) => {
                             if let Some(Owed::Waiting(pending)) = self.owed.pop_front() {
@@ -602,7 +531,7 @@
             [name] if name.eq_ignore_ascii_case(b"PING") => {
                 Ok(Owed::Ready(BytesFrame::SimpleString("PONG".into())))
             }
-            _ => Command::parse(parts).and_then(|command| self.request(command, length)),
+            _ => parse_command(parts).and_then(|command| self.request(command, length)),
         };
         self.heard |= owed.is_ok();
         owed.unwrap_or_else(|error| Owed::Ready(BytesFrame::Error(format!("ERR {error}").into())))
@@ -675,7 +604,7 @@
         Some(Owed::Ready(_) | Owed::Coming(..)) => None,
         None => std::future::pending().await,
     };
-    match (owed.pop_front(), answer.map(Answer::outgoing)) {
+    match (owed.pop_front(), answer.map(outgoing)) {
         (Some(Owed::Waiting(pending)), Some(Err(stream))) => Outgoing::Value(stream, pending),
         (Some(Owed::Coming(stream, pending)), _) => Outgoing::Value(stream, pending),
         (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -17,13 +17,13 @@
 use tokio_util::time::{DelayQueue, delay_queue};
 
 use super::attempt::{self, Connection, Reply};
-use super::clients::{Answer, Command};
 use super::config::Config;
 use super::directory::{Directory, Target};
 use super::discovery::List;
 use super::log;
 use super::metrics::{Metrics, Outcomes};
 use super::relay::{Budget, Pass, Stream};
+use super::request::{Answer, Command};
 use super::state::Orders;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod origin;
 mod relay;
 mod reload;
+mod request;
 mod resp;
 mod seats;
 mod state;
--- a/src/node/origin.rs
+++ b/src/node/origin.rs
@@ -10,15 +10,29 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use stonefold::Outcome;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::attempt::Reply;
-use super::clients::Command;
 use super::metrics::Figure;
 use super::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
+use super::request::Command;
+
+/// What a key may not show in a path.
+const ESCAPED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'<')
+    .add(b'>')
+    .add(b'?')
+    .add(b'`')
+    .add(b'{')
+    .add(b'}');
 
 /// A connection between requests.
 pub struct Connection {
@@ -140,7 +154,7 @@
     let method = if command.value.is_some() { Method::PUT } else { Method::GET };
     Request::builder()
         .method(method)
-        .uri(format!("/{}", command.path_key()))
+        .uri(format!("/{}", percent_encode(command.key.as_bytes(), ESCAPED)))
         .header(HOST, addr.to_string())
         .header("X-Correlation-Id", &command.id[..])
         .header("X-Facts", &command.facts[..])
