--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -49,6 +49,8 @@
 const PARTING: Duration = Duration::from_millis(1500);
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
+/// A client that can't be understood is owed an error or a close within 3 s.
+const _: () = assert!(PATIENCE.as_millis() < 3_000 && PARTING.as_millis() < 3_000);
 /// The longest wait that is believed.
 const LONGEST: Micros = 3_600_000_000;
 
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -31,6 +31,8 @@
 /// How long the whole list may take, since callers wait in turn, and how much longer a watch than it waits.
 const ANSWER: Duration = Duration::from_secs(2);
 const LATE: Duration = Duration::from_secs(1);
+/// In a small fleet a discovery that falls silent is asked anew before its news count as told, after 6 s.
+const _: () = assert!(ANSWER.as_millis() + WAIT.as_millis() + LATE.as_millis() < 6_000);
 /// Where nobody says when to call again: the first and the longest pause after failed calls, with full jitter.
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
