--- a/tests/property.rs
+++ b/tests/property.rs
@@ -20,6 +20,9 @@
     deadline: Micros,
     answered: bool,
     attempts: Vec<Attempt>,
+    /// What the settings allowed when it arrived.
+    most: usize,
+    copies: bool,
 }
 
 enum Due {
@@ -150,14 +153,14 @@
     fn sent(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
         let asked = self.asked.get_mut(&id).expect("a request of ours");
         assert!(!asked.answered, "nothing goes out after the final answer");
-        assert!(asked.attempts.len() < self.settings.max_attempts);
+        assert!(asked.attempts.len() < asked.most);
         let to = &self.listed[&server];
         assert_eq!(to.state, MemberState::Up, "drains are kept at once");
         assert!(!self.banned.contains(&server), "bans are kept at once");
         let aside = self.settings.mode == Mode::Aside;
         assert!(!(aside && asked.write) || to.origin, "writes go to the origin");
         let out = asked.attempts.iter().filter(|a| a.end.is_none()).count();
-        let copies = self.settings.second_copies && !asked.write && asked.effect == Effect::Safe;
+        let copies = asked.copies && !asked.write && asked.effect == Effect::Safe;
         assert!(out == 0 || copies, "a copy that nobody allowed");
         for earlier in asked.attempts.iter().filter(|a| a.end.is_none_or(Outcome::may_have_run)) {
             let first = &self.listed[&earlier.server];
@@ -232,7 +235,9 @@
             None => Effect::Safe,
         };
         let deadline = self.now + budget;
-        self.asked.insert(id, Asked { effect, write, deadline, answered: false, attempts: Vec::new() });
+        let (most, copies) = (self.settings.max_attempts, self.settings.second_copies);
+        let attempts = Vec::new();
+        self.asked.insert(id, Asked { effect, write, deadline, answered: false, attempts, most, copies });
         let key = (self.rng.u8(..8) != 0).then(|| format!("k{}", self.rng.u8(..20)));
         let tenant = Some(self.rng.usize(..3));
         self.tell(Event::Request(Request { id, class, tenant, key, budget, write }));
@@ -282,6 +287,12 @@
                     self.banned.insert(server);
                     self.tell(Event::Disable(server));
                 }
+                7 => {
+                    self.settings.max_attempts = self.rng.usize(1..7);
+                    self.settings.second_copies = self.rng.bool();
+                    self.settings.classes.rotate_left(1);
+                    self.tell(Event::Settings(Box::new(self.settings.clone())));
+                }
                 6 => {
                     let server = ServerId(self.rng.u32(..8));
                     self.banned.remove(&server);
