--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
 /// Attempts of ours at a gate at the start, and what is held to be usual at first.
 const START: f64 = 8.0;
 const USUAL: f64 = 48.0;
+/// So many nodes may start with all of that.
+const FEW_NODES: f64 = 8.0;
 /// So many nodes may keep their connections for the whole of the keep-alive time.
 const IDLE_NODES: f64 = 8.0;
 const IDLE_TIMER: TimerToken = TimerToken(u64::MAX - 1);
@@ -86,6 +88,8 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let aims = settings.classes.iter().map(|c| c.aim as f64);
         let usual = aims.clone().reduce(f64::min).filter(|&aim| aim > 0.0).unwrap_or(1e6);
+        // Guards against: dozens of nodes that start together, each with places enough for a few.
+        let part = (FEW_NODES / settings.nodes as f64).min(1.0);
         Balancer {
             rng: fastrand::Rng::with_seed(seed),
             now,
@@ -105,7 +109,7 @@
             copies: 1.0,
             retries: SAVED / 2.0,
             flights: HashMap::new(),
-            gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, START, USUAL)),
+            gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, (START * part).max(2.0), USUAL * part)),
             list_failures: None,
             settings,
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -632,3 +632,13 @@
     assert!(many > 4 * few, "{few} and {many}");
     assert!(mean(100_000) <= settings(Mode::Through).must_ask_in);
 }
+
+#[test]
+fn a_node_among_many_starts_with_fewer_places() {
+    let places = |nodes| {
+        let mut node = Node::new(Settings { nodes, ..settings(Mode::Through) }, 2);
+        (0..20).filter(|n| sent(&node.read(*n, "one key")).is_some()).count()
+    };
+    let (few, many) = (places(4), places(48));
+    assert!(few > many && many >= 2, "{few} among few, {many} among many");
+}
