--- a/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of stonefold. The interface it speaks is `src/api.rs`; its books are `src/state.rs`.
+//! Every decision of stonefold. The interface it speaks is `api.rs`; its books are `state.rs`.
 //!
 //! The ordinary path: `arrive` and `advance` bring a read to `pick`, which takes from its key's candidate set
 //! (`candidates`) the cache with fewest of our requests in flight; `hedge` adds a copy where there is idle
--- a/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -4,7 +4,7 @@
 //! and starts no thread: the embedder carries the actions out and tells it the time.
 //!
 //! ```
-//! use stonefold::{Action, Balancer, Event, ListScope, Member, Request, RequestId, ServerId, Settings};
+//! use stonefold_balancer::{Action, Balancer, Event, ListScope, Member, Request, RequestId, ServerId, Settings};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, 0);
 //! let mut actions = Vec::new();
@@ -18,19 +18,17 @@
 //! balancer.on_event(10, Event::Request(read), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: RequestId(1), .. })));
 //! ```
-#![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod api;
 mod brain;
 pub mod setup;
 mod state;
-pub mod wire;
 
 pub use api::*;
 pub use brain::Balancer;
 
 /// The README's example, compiled and run as a test.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers for tests that drive the module through its public interface.
 #![allow(dead_code)] // each test file uses its own part
 
-use stonefold::*;
+use stonefold_balancer::*;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/ordinary_path.rs
+++ b/crates/balancer/tests/ordinary_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stonefold::*;
+use stonefold_balancer::*;
 
 #[test]
 fn an_idle_key_goes_to_one_cache_at_every_node() {
--- a/tests/property.rs
+++ b/crates/balancer/tests/property.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use common::SECOND;
-use stonefold::*;
+use stonefold_balancer::*;
 
 struct Attempt {
     server: ServerId,
--- a/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stonefold::*;
+use stonefold_balancer::*;
 
 #[test]
 fn a_time_out_at_the_clients_end_is_answered_at_once() {
--- a/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stonefold::*;
+use stonefold_balancer::*;
 
 /// A node with `caches` spread in turn over `zones`.
 fn zoned(settings: Settings, caches: u32, zones: u32) -> Node {
--- a/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,13 +1,9 @@
 //! One cache-proxy node: reads its configuration, serves until it is told to stop.
 
-#![deny(unsafe_code)]
-
-mod node;
-
 use std::fmt::Display;
 use std::process::ExitCode;
 
-use node::config::Config;
+use stonefold_node::config::Config;
 
 fn main() -> ExitCode {
     let config = match Config::from_env() {
@@ -18,7 +14,7 @@
         Ok(runtime) => runtime,
         Err(error) => return failed(error),
     };
-    match runtime.block_on(node::run(config)) {
+    match runtime.block_on(stonefold_node::run(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => failed(error),
     }
--- /dev/null
+++ b/crates/node/src/clients/mod.rs
@@ -0,0 +1,120 @@
+//! Clients: the listener, and a session for each connection. Speaks RESP2; decides nothing.
+
+mod command;
+mod owed;
+mod seats;
+mod session;
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicU32, AtomicUsize};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use seats::Seats;
+use session::Session;
+
+use crate::bounds::Bounds;
+use crate::log::log;
+use crate::message::{Message, Terms};
+use crate::metrics::Metrics;
+use crate::relay::Budget;
+
+/// After an accept that failed, for want of descriptors say.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// How connections end when the process does.
+#[derive(Clone, Default)]
+pub struct Closing {
+    /// Those that have had a request close as soon as nothing is owed.
+    pub used: CancellationToken,
+    /// Those that have had none close too.
+    pub silent: CancellationToken,
+}
+
+/// The listener's side: what all sessions share.
+#[derive(Clone)]
+pub struct Clients {
+    to: UnboundedSender<Message>,
+    bounds: Bounds,
+    terms: watch::Receiver<Terms>,
+    /// Connections on which nothing is owed.
+    seats: Arc<Seats>,
+    /// Told when a session has ended.
+    left: Arc<Notify>,
+    next_id: Arc<AtomicU32>,
+    open_ids: Arc<Mutex<HashSet<Bytes>>>,
+    /// Bytes held by the open requests of all connections.
+    held: Arc<AtomicUsize>,
+    /// Room for buffers that are not small.
+    budget: Budget,
+    closing: Closing,
+    sessions: TaskTracker,
+    metrics: Arc<Metrics>,
+}
+
+impl Clients {
+    pub fn new(
+        to: UnboundedSender<Message>,
+        bounds: Bounds,
+        terms: watch::Receiver<Terms>,
+        closing: Closing,
+        sessions: TaskTracker,
+        metrics: Arc<Metrics>,
+        budget: Budget,
+    ) -> Self {
+        let seats = Arc::new(Seats::new(bounds.resting));
+        let (left, next_id, open_ids, held) = Default::default();
+        Clients {
+            to,
+            bounds,
+            terms,
+            seats,
+            left,
+            next_id,
+            open_ids,
+            held,
+            budget,
+            closing,
+            sessions,
+            metrics,
+        }
+    }
+
+    /// Takes connections until it is aborted.
+    pub async fn accept(self, listener: TcpListener) {
+        loop {
+            // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
+            // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
+            // the servers leave free is the clients' too: many have asked once and stay.
+            while self.sessions.len() >= self.bounds.limit() {
+                self.make_room().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let session = Session::new(self.clone());
+                    self.sessions.spawn(session.run(stream));
+                }
+                // Guards against: an exit, or a busy loop, when descriptors run out.
+                Err(error) => {
+                    log(format_args!("accept: {error}"));
+                    self.make_room().await;
+                }
+            }
+        }
+    }
+
+    /// Has a connection closed, and waits for its end, or for a while.
+    async fn make_room(&self) {
+        let left = self.left.notified();
+        self.seats.clear_one(Instant::now());
+        let _ = timeout(PAUSE, left).await; // looked at again either way
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients/owed.rs
@@ -0,0 +1,110 @@
+//! Answers that are owed on one connection, in the order of its commands.
+
+use std::collections::{HashSet, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::{Bytes, BytesMut};
+use redis_protocol::resp2::encode::extend_encode;
+use redis_protocol::resp2::types::BytesFrame;
+use stonefold_balancer::RequestId;
+use tokio::sync::oneshot;
+
+use crate::metrics::InFlight;
+use crate::relay::{Room, Stream};
+use crate::request::Answer;
+
+/// What goes out at once, or the value that comes by and by.
+pub fn outgoing(answer: Answer) -> Result<BytesFrame, Stream> {
+    Ok(match answer {
+        Answer::Stream(stream) => return Err(stream),
+        Answer::Served(value) => BytesFrame::BulkString(value),
+        Answer::Busy(0) => BytesFrame::Error("BUSY".into()),
+        Answer::Busy(wait) => BytesFrame::Error(format!("BUSY {}", wait.div_ceil(1000)).into()),
+        Answer::Failed => BytesFrame::Error("ERR failed".into()),
+    })
+}
+
+pub fn encode(text: &mut BytesMut, frame: &BytesFrame) {
+    // Fails only for frames that RESP2 lacks; none of ours.
+    let _ = extend_encode(text, frame, false);
+}
+
+/// The id of an open request, free again when it is dropped.
+pub struct OpenId {
+    id: Bytes,
+    all: Arc<Mutex<HashSet<Bytes>>>,
+}
+
+impl OpenId {
+    pub fn take(id: &Bytes, all: &Arc<Mutex<HashSet<Bytes>>>) -> Option<OpenId> {
+        let new = all.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| OpenId { id: id.clone(), all: all.clone() })
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.all.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
+/// An open request's part of the memory that all share.
+pub struct Held {
+    bytes: usize,
+    all: Arc<AtomicUsize>,
+}
+
+impl Held {
+    pub fn new(bytes: usize, all: &Arc<AtomicUsize>) -> Held {
+        all.fetch_add(bytes, Ordering::Relaxed);
+        Held { bytes, all: all.clone() }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A request that waits for its answer.
+pub struct Pending {
+    pub id: RequestId,
+    pub answer: oneshot::Receiver<Answer>,
+    pub _open_id: OpenId,
+    pub _held: Held,
+    /// The room of a value that is not small: it is held until it is no longer of use.
+    pub _room: Option<Room>,
+    pub _in_flight: InFlight,
+}
+
+/// An answer that is owed, in the order of the commands.
+pub enum Owed {
+    Ready(BytesFrame),
+    Waiting(Pending),
+    /// A value that has begun to come.
+    Coming(Stream, Pending),
+}
+
+/// What goes out next.
+pub enum Outgoing {
+    Frame(BytesFrame),
+    /// Its request is open until it has gone.
+    Value(Stream, Pending),
+}
+
+/// The next answer in order. Cancelled between, it loses nothing.
+pub async fn next(owed: &mut VecDeque<Owed>) -> Outgoing {
+    let answer = match owed.front_mut() {
+        Some(Owed::Waiting(pending)) => Some((&mut pending.answer).await.unwrap_or(Answer::Failed)),
+        Some(Owed::Ready(_) | Owed::Coming(..)) => None,
+        None => std::future::pending().await,
+    };
+    match (owed.pop_front(), answer.map(outgoing)) {
+        (Some(Owed::Waiting(pending)), Some(Err(stream))) => Outgoing::Value(stream, pending),
+        (Some(Owed::Coming(stream, pending)), _) => Outgoing::Value(stream, pending),
+        (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame),
+        (_, _) => std::future::pending().await,
+    }
+}
--- a/src/node/clients.rs
+++ b/crates/node/src/clients/session.rs
@@ -1,35 +1,29 @@
-//! Clients: the listener, and a session for each connection. Speaks RESP2; decides nothing.
+//! One client's connection: reads its commands, writes the answers.
 
-use std::collections::{HashSet, VecDeque};
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::VecDeque;
+use std::io;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::{fmt, io, str};
 
 use bytes::{Bytes, BytesMut};
-use hyper::header::HeaderValue;
-use redis_protocol::resp2::encode::extend_encode;
 use redis_protocol::resp2::types::BytesFrame;
-use stonefold::{Micros, RequestId};
+use stonefold_balancer::RequestId;
+use stonefold_proto::resp::{Malformed, next_frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
-use super::driver::{Arrival, Message, Terms};
-use super::log;
-use super::metrics::{InFlight, Metrics};
-use super::relay::{Budget, CHUNK, LARGEST, Room, STUCK, Stream, VALUE_LIMIT, WHOLE};
-use super::request::{Answer, Command};
-use super::resp::{Malformed, next_frame};
-use super::seats::{Guest, Seat, Seats};
+use super::Clients;
+use super::command::{CommandError, announced, arguments, parse_command};
+use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
+use super::seats::{Guest, Seat};
+use crate::message::{Arrival, Message};
+use crate::metrics::InFlight;
+use crate::relay::{CHUNK, LARGEST, Room, STUCK, WHOLE};
+use crate::request::Command;
 
-/// Key, id and facts together are no longer than this.
-const ARGUMENTS: usize = 2 << 10;
 /// Room for a command that does not tell how long it is.
 const UNTOLD: usize = 2 * WHOLE;
 /// Requests that one connection may have open; those beyond are answered with an error.
@@ -47,262 +41,10 @@
 const PATIENCE: Duration = Duration::from_millis(2500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
-/// After an accept that failed, for want of descriptors say.
-const PAUSE: Duration = Duration::from_millis(5);
 /// A client that can't be understood is owed an error or a close within 3 s.
 const _: () = assert!(PATIENCE.as_millis() < 3_000 && PARTING.as_millis() < 3_000);
-/// The longest wait that is believed.
-const LONGEST: Micros = 3_600_000_000;
 
-/// Reads a command's words.
-fn parse_command(parts: &[Bytes]) -> Result<Command, CommandError> {
-    let Some((name, rest)) = parts.split_first() else { return Err(CommandError::Unknown) };
-    let (key, id, facts, value) = match rest {
-        [key, id, facts] if name.eq_ignore_ascii_case(b"CACHE.GET") => (key, id, facts, None),
-        [key, id, facts, value] if name.eq_ignore_ascii_case(b"CACHE.SET") => {
-            (key, id, facts, Some(value.clone()))
-        }
-        _ if name.eq_ignore_ascii_case(b"CACHE.GET") || name.eq_ignore_ascii_case(b"CACHE.SET") => {
-            return Err(CommandError::Arguments);
-        }
-        _ => return Err(CommandError::Unknown),
-    };
-    if value.as_ref().is_some_and(|value| value.len() > VALUE_LIMIT) {
-        return Err(CommandError::TooLong);
-    }
-    // Both go on in headers.
-    let plain = |text: &Bytes| !text.is_empty() && HeaderValue::from_bytes(text).is_ok();
-    let key = str::from_utf8(key).ok().filter(|key| !key.is_empty()).ok_or(CommandError::Arguments)?;
-    if !plain(id) || !plain(facts) || key.len() + id.len() + facts.len() > ARGUMENTS {
-        return Err(CommandError::Arguments);
-    }
-    // Copied, so that they don't hold on to the whole of what was read with them.
-    let (key, [id, facts]) = (key.to_owned(), [id, facts].map(|text| Bytes::copy_from_slice(text)));
-    let mut command = Command { key, id, facts, value, wait: 0 };
-    let wait = command.fact("d").and_then(|d| d.parse::<f64>().ok());
-    let ms = wait.filter(|ms| ms.is_finite() && *ms >= 0.0).ok_or(CommandError::Wait)?;
-    command.wait = ((ms * 1000.0) as Micros).min(LONGEST);
-    Ok(command)
-}
-
-/// Why a whole command can't be carried out.
-#[derive(Debug)]
-enum CommandError {
-    Unknown,
-    Arguments,
-    Wait,
-    TooLong,
-    Class,
-    InUse,
-    TooMany,
-}
-
-impl fmt::Display for CommandError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            CommandError::Unknown => "unknown command",
-            CommandError::Arguments => "wrong arguments",
-            CommandError::Wait => "bad or missing d",
-            CommandError::TooLong => "value over 4 MiB",
-            CommandError::Class => "unknown class",
-            CommandError::InUse => "id in use",
-            CommandError::TooMany => "too many commands at once",
-        })
-    }
-}
-
-/// What goes out at once, or the value that comes by and by.
-fn outgoing(answer: Answer) -> Result<BytesFrame, Stream> {
-    Ok(match answer {
-        Answer::Stream(stream) => return Err(stream),
-        Answer::Served(value) => BytesFrame::BulkString(value),
-        Answer::Busy(0) => BytesFrame::Error("BUSY".into()),
-        Answer::Busy(wait) => BytesFrame::Error(format!("BUSY {}", wait.div_ceil(1000)).into()),
-        Answer::Failed => BytesFrame::Error("ERR failed".into()),
-    })
-}
-
-fn encode(text: &mut BytesMut, frame: &BytesFrame) {
-    // Fails only for frames that RESP2 lacks; none of ours.
-    let _ = extend_encode(text, frame, false);
-}
-
-/// How much clients may hold of a node.
-#[derive(Clone)]
-pub struct Bounds {
-    /// Connections that they may hold in any case, and together with those to servers.
-    pub connections: usize,
-    pub with_servers: usize,
-    /// Connections that may rest between requests.
-    pub resting: usize,
-    /// How many connections to servers there are.
-    pub to_servers: Arc<AtomicUsize>,
-    /// Bytes, of which a part each is for open requests and for large buffers.
-    pub memory: usize,
-}
-
-impl Bounds {
-    /// How many connections from clients there may be now.
-    fn limit(&self) -> usize {
-        let free = self.with_servers.saturating_sub(self.to_servers.load(Ordering::Relaxed));
-        self.connections.max(free)
-    }
-}
-
-/// How connections end when the process does.
-#[derive(Clone, Default)]
-pub struct Closing {
-    /// Those that have had a request close as soon as nothing is owed.
-    pub used: CancellationToken,
-    /// Those that have had none close too.
-    pub silent: CancellationToken,
-}
-
-/// The listener's side: what all sessions share.
-#[derive(Clone)]
-pub struct Clients {
-    to: UnboundedSender<Message>,
-    bounds: Bounds,
-    terms: watch::Receiver<Terms>,
-    /// Connections on which nothing is owed.
-    seats: Arc<Seats>,
-    /// Told when a session has ended.
-    left: Arc<Notify>,
-    next_id: Arc<AtomicU32>,
-    open_ids: Arc<Mutex<HashSet<Bytes>>>,
-    /// Bytes held by the open requests of all connections.
-    held: Arc<AtomicUsize>,
-    /// Room for buffers that are not small.
-    budget: Budget,
-    closing: Closing,
-    sessions: TaskTracker,
-    metrics: Arc<Metrics>,
-}
-
-impl Clients {
-    pub fn new(
-        to: UnboundedSender<Message>,
-        bounds: Bounds,
-        terms: watch::Receiver<Terms>,
-        closing: Closing,
-        sessions: TaskTracker,
-        metrics: Arc<Metrics>,
-        budget: Budget,
-    ) -> Self {
-        let seats = Arc::new(Seats::new(bounds.resting));
-        let (left, next_id, open_ids, held) = Default::default();
-        Clients {
-            to,
-            bounds,
-            terms,
-            seats,
-            left,
-            next_id,
-            open_ids,
-            held,
-            budget,
-            closing,
-            sessions,
-            metrics,
-        }
-    }
-
-    /// Takes connections until it is aborted.
-    pub async fn accept(self, listener: TcpListener) {
-        loop {
-            // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
-            // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
-            // the servers leave free is the clients' too: many have asked once and stay.
-            while self.sessions.len() >= self.bounds.limit() {
-                self.make_room().await;
-            }
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let session = Session::new(self.clone());
-                    self.sessions.spawn(session.run(stream));
-                }
-                // Guards against: an exit, or a busy loop, when descriptors run out.
-                Err(error) => {
-                    log(format_args!("accept: {error}"));
-                    self.make_room().await;
-                }
-            }
-        }
-    }
-
-    /// Has a connection closed, and waits for its end, or for a while.
-    async fn make_room(&self) {
-        let left = self.left.notified();
-        self.seats.clear_one(Instant::now());
-        let _ = timeout(PAUSE, left).await; // looked at again either way
-    }
-}
-
-/// The id of an open request, free again when it is dropped.
-struct OpenId {
-    id: Bytes,
-    all: Arc<Mutex<HashSet<Bytes>>>,
-}
-
-impl OpenId {
-    fn take(id: &Bytes, all: &Arc<Mutex<HashSet<Bytes>>>) -> Option<OpenId> {
-        let new = all.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
-        new.then(|| OpenId { id: id.clone(), all: all.clone() })
-    }
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.all.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
-    }
-}
-
-/// An open request's part of the memory that all share.
-struct Held {
-    bytes: usize,
-    all: Arc<AtomicUsize>,
-}
-
-impl Held {
-    fn new(bytes: usize, all: &Arc<AtomicUsize>) -> Held {
-        all.fetch_add(bytes, Ordering::Relaxed);
-        Held { bytes, all: all.clone() }
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// A request that waits for its answer.
-struct Pending {
-    id: RequestId,
-    answer: oneshot::Receiver<Answer>,
-    _open_id: OpenId,
-    _held: Held,
-    /// The room of a value that is not small: it is held until it is no longer of use.
-    _room: Option<Room>,
-    _in_flight: InFlight,
-}
-
-/// An answer that is owed, in the order of the commands.
-enum Owed {
-    Ready(BytesFrame),
-    Waiting(Pending),
-    /// A value that has begun to come.
-    Coming(Stream, Pending),
-}
-
-/// What goes out next.
-enum Outgoing {
-    Frame(BytesFrame),
-    /// Its request is open until it has gone.
-    Value(Stream, Pending),
-}
-
-struct Session {
+pub struct Session {
     shared: Clients,
     buffer: BytesMut,
     /// The room of a buffer that is not small.
@@ -326,7 +68,7 @@
 }
 
 impl Session {
-    fn new(shared: Clients) -> Self {
+    pub fn new(shared: Clients) -> Self {
         let now = Instant::now();
         Session {
             shared,
@@ -344,7 +86,7 @@
         }
     }
 
-    async fn run(mut self, mut stream: TcpStream) {
+    pub async fn run(mut self, mut stream: TcpStream) {
         // Whether it ended by a break or between requests is all one here.
         let _ = self.serve(&mut stream).await;
         for owed in self.owed.drain(..) {
@@ -570,46 +312,3 @@
         }))
     }
 }
-
-/// How long a write says that it is, by its head.
-fn announced(buffer: &[u8]) -> Option<usize> {
-    let head = &buffer[..buffer.len().min(ARGUMENTS + 256)];
-    let mut at = head.strip_prefix(b"*5\r\n").map(|_| 4)?;
-    for _ in 0..4 {
-        at = next_word(head, at)?;
-    }
-    next_word(head, at).filter(|&all| all <= LARGEST)
-}
-
-/// Where the word that begins here says that it ends.
-fn next_word(head: &[u8], at: usize) -> Option<usize> {
-    let rest = head.get(at..)?.strip_prefix(b"$")?;
-    let end = rest.windows(2).position(|pair| pair == b"\r\n")?;
-    let length: usize = str::from_utf8(&rest[..end]).ok()?.parse().ok()?;
-    (at + 1 + end + 4).checked_add(length)
-}
-
-/// A command's words: an array of bulk strings.
-fn arguments(frame: BytesFrame) -> Result<Vec<Bytes>, Malformed> {
-    let BytesFrame::Array(parts) = frame else { return Err(Malformed) };
-    let words = parts.into_iter().map(|part| match part {
-        BytesFrame::BulkString(text) => Ok(text),
-        _ => Err(Malformed),
-    });
-    words.collect()
-}
-
-/// The next answer in order. Cancelled between, it loses nothing.
-async fn next(owed: &mut VecDeque<Owed>) -> Outgoing {
-    let answer = match owed.front_mut() {
-        Some(Owed::Waiting(pending)) => Some((&mut pending.answer).await.unwrap_or(Answer::Failed)),
-        Some(Owed::Ready(_) | Owed::Coming(..)) => None,
-        None => std::future::pending().await,
-    };
-    match (owed.pop_front(), answer.map(outgoing)) {
-        (Some(Owed::Waiting(pending)), Some(Err(stream))) => Outgoing::Value(stream, pending),
-        (Some(Owed::Coming(stream, pending)), _) => Outgoing::Value(stream, pending),
-        (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame),
-        (_, _) => std::future::pending().await,
-    }
-}
--- a/src/node/config.rs
+++ b/crates/node/src/config.rs
@@ -8,13 +8,13 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use stonefold::setup::{Setup, SetupError, Stated};
+use stonefold_balancer::setup::{Setup, SetupError, Stated};
+use stonefold_proto::list::List;
 
-use super::clients::Bounds;
-use super::discovery::List;
-use super::handover;
-use super::operator::CALLERS;
-use super::relay::Budget;
+use crate::bounds::Bounds;
+use crate::handover;
+use crate::operator::CALLERS;
+use crate::relay::Budget;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listeners, discovery, the runtimes' own, operators, and one to spare for a connection that is turned away.
--- /dev/null
+++ b/crates/node/src/desk.rs
@@ -0,0 +1,106 @@
+//! Answers operators' calls, and keeps their orders in force.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+
+use crate::log::log;
+use crate::message::Control;
+use crate::metrics::Metrics;
+use crate::operator::{self, Call};
+use crate::orders::{self, Order, Orders, StateError, Store};
+
+/// How often the orders are looked at: a call to one process binds the other well within the grace.
+const ORDERS: Duration = Duration::from_millis(100);
+/// The driver's answer to an operator's question is waited for so long; the operator waits for a second.
+const IN_TIME: Duration = Duration::from_millis(400);
+
+/// What operators are answered from.
+pub struct Desk {
+    /// Whether clients' connections are taken.
+    pub serving: Arc<AtomicBool>,
+    pub control: mpsc::Sender<Control>,
+    pub store: Arc<Store>,
+    pub metrics: Arc<Metrics>,
+}
+
+/// Why an order is not carried out.
+#[derive(Debug)]
+enum OrderError {
+    Unknown(String),
+    NotKept(StateError),
+    Busy,
+}
+
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderError::Unknown(id) => write!(f, "no server {id}"),
+            OrderError::NotKept(error) => write!(f, "cannot keep the order: {error}"),
+            OrderError::Busy => write!(f, "the node does not answer"),
+        }
+    }
+}
+
+impl Desk {
+    /// Takes a server out of use or puts it back. Once this returns, the order is kept and in force.
+    async fn order(&self, id: String, out: bool) -> Result<(), OrderError> {
+        let known = self.tell(|answer| Control::Known(id.clone(), answer)).await?;
+        if !known {
+            return Err(OrderError::Unknown(id));
+        }
+        let change = |orders: &mut Orders| match orders.get(&id) {
+            Some(order) if order.out == out => {} // said before: it stands as it was
+            None if !out => {}
+            _ => _ = orders.insert(id.clone(), Order { out, since_ms: orders::now_ms() }),
+        };
+        let orders = self.store.change(change).map_err(OrderError::NotKept)?;
+        self.tell(|done| Control::Orders(orders, Some(done))).await
+    }
+
+    /// Tells the driver something, and waits for its answer as long as an operator may wait for ours.
+    async fn tell<T>(&self, control: impl FnOnce(oneshot::Sender<T>) -> Control) -> Result<T, OrderError> {
+        let (sender, answer) = oneshot::channel();
+        let told = async {
+            self.control.send(control(sender)).await.ok()?;
+            answer.await.ok()
+        };
+        timeout(IN_TIME, told).await.ok().flatten().ok_or(OrderError::Busy)
+    }
+}
+
+impl operator::Desk for Desk {
+    async fn answer(&self, call: Call) -> String {
+        match call {
+            Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
+            Call::Ready => "fail not serving".into(),
+            Call::Stats => self.metrics.text() + "eof",
+            Call::Disable(id) => said(self.order(id, true).await),
+            Call::Enable(id) => said(self.order(id, false).await),
+        }
+    }
+}
+
+fn said(done: Result<(), OrderError>) -> String {
+    match done {
+        Ok(()) => "ok".into(),
+        Err(error) => format!("fail {error}"),
+    }
+}
+
+/// Takes over what other processes of this node were ordered.
+pub async fn follow_orders(store: Arc<Store>, control: mpsc::Sender<Control>) {
+    loop {
+        sleep(ORDERS).await;
+        if store.changed() {
+            match store.load() {
+                Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
+                Err(error) => log(format_args!("orders: {error}; those in force stay")),
+            }
+        }
+    }
+}
--- a/src/node/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -10,16 +10,16 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::driver::Message;
-use super::log;
+use stonefold_proto::list::List;
+
+use crate::log::log;
+use crate::message::Message;
 
 /// How long a watch waits for news in a small fleet. Guards against: a discovery that has fallen silent and is
 /// believed to have no news for long.
@@ -39,74 +39,6 @@
 /// Larger lists are not believed.
 const LARGEST: usize = 4 << 20;
 
-/// An answer of discovery.
-#[derive(Deserialize, Default, Debug)]
-#[serde(from = "Told")]
-pub struct List {
-    pub version: u64,
-    pub full: bool,
-    pub servers: Vec<Entry>,
-    /// Entries that can't be read.
-    pub skipped: usize,
-}
-
-#[derive(Deserialize)]
-struct Told {
-    #[serde(default)]
-    version: u64,
-    #[serde(default)]
-    full: bool,
-    #[serde(default)]
-    servers: Vec<Listed>,
-}
-
-/// Guards against: one entry that can't be read, which would void all the others.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Listed {
-    Entry(Entry),
-    Unreadable(IgnoredAny),
-}
-
-impl From<Told> for List {
-    fn from(told: Told) -> List {
-        let listed = told.servers.len();
-        let readable = told.servers.into_iter().filter_map(|one| match one {
-            Listed::Entry(entry) => Some(entry),
-            Listed::Unreadable(_) => None,
-        });
-        let servers: Vec<Entry> = readable.collect();
-        List { version: told.version, full: told.full, skipped: listed - servers.len(), servers }
-    }
-}
-
-/// A server in the list.
-#[derive(Deserialize, Debug)]
-pub struct Entry {
-    pub id: String,
-    pub addr: SocketAddr,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub kind: String,
-    #[serde(default)]
-    pub cell: u32,
-    pub state: State,
-    #[serde(default)]
-    pub weight: Option<f64>,
-    #[serde(default)]
-    pub started_ms: f64,
-}
-
-/// Whether a server takes requests.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum State {
-    Serving,
-    Draining,
-    Deleted,
-}
-
 /// Follows the list.
 pub struct Watch {
     /// Where the list must be subscribed to: told when the module asks for it, at first and after a failure.
--- /dev/null
+++ b/crates/node/src/driver/attempts.rs
@@ -0,0 +1,141 @@
+//! Attempts: how they start, and every way in which they end.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use stonefold_balancer::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::books::{Open, Running};
+use super::{Driver, Due};
+use crate::message::{Ended, Message};
+use crate::relay::{Pass, Stream};
+use crate::request::Answer;
+use crate::upstream::attempt;
+use crate::upstream::connection::Connection;
+use crate::upstream::directory::Target;
+
+impl Driver {
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
+        let now = Instant::now();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts.len();
+        let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
+            let held = self.running + self.directory.idle();
+            self.held.store(held, Ordering::Relaxed);
+            if pooled.is_none() && held >= self.connections {
+                self.directory.close_oldest();
+            }
+            pooled.is_some() || self.running < self.connections
+        });
+        let Some((target, pooled)) = place else {
+            open.attempts.push(None);
+            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+        };
+        let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
+        let task = self.start(id, attempt, server, target, pooled, wait);
+        let open = self.open.get_mut(&id).expect("looked up above");
+        open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), begun: None }));
+        self.running += 1;
+    }
+
+    fn start(
+        &self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        target: Target,
+        pooled: Option<Connection>,
+        wait: Duration,
+    ) -> AbortHandle {
+        let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
+        let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
+        let metrics = self.metrics.clone();
+        let begun = self.to_self.clone();
+        // A driver that is gone drops the stream, and the attempt ends.
+        let begin = move |stream| _ = begun.send(Message::Begun(id, attempt, stream));
+        let pass = Pass { budget: self.budget.clone(), begin: Box::new(begin) };
+        let work = async move {
+            let addr = target.addr;
+            let (reply, connection) =
+                attempt::run(target, pooled, &command, wait, connect_timeout, &metrics.calls, pass).await;
+            let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
+        };
+        tokio::spawn(work).abort_handle()
+    }
+
+    /// Strikes an attempt off; nothing if it has ended before.
+    fn close(&mut self, id: RequestId, attempt: usize) -> Option<Running> {
+        let running = self.open.get_mut(&id)?.attempts.get_mut(attempt)?.take()?;
+        self.running -= 1;
+        Some(running)
+    }
+
+    /// Stops waiting for an attempt: its connection closes.
+    pub(super) fn give_up(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        let Some(running) = self.close(id, attempt) else { return };
+        running.task.abort();
+        if let Some(timer) = running.timer.filter(|_| outcome != Outcome::TimedOut) {
+            self.timers.try_remove(&timer);
+        }
+        self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
+    }
+
+    pub(super) fn ended(&mut self, ended: Ended) {
+        let Ended { id, attempt, reply, server, addr, connection } = ended;
+        let running = self.close(id, attempt);
+        if let Some(connection) = connection {
+            self.directory.check_in(server, addr, connection, Instant::now());
+        }
+        let Some(running) = running else { return }; // given up before: a late outcome changes nothing
+        if let Some(timer) = running.timer {
+            self.timers.try_remove(&timer);
+        }
+        match running.begun {
+            Some(_) => self.count_end(id, reply.outcome == Outcome::Ok),
+            None if reply.outcome == Outcome::Ok => self.answer(id, Answer::Served(reply.value)),
+            None => {}
+        }
+        // How long a long value takes tells of its length and its client, not of the server.
+        let elapsed = running.begun.unwrap_or_else(|| running.sent.elapsed());
+        self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
+    }
+
+    /// The first value to begin is the answer, whatever becomes of it. Others are dropped, and end for it.
+    pub(super) fn begun(&mut self, id: RequestId, attempt: usize, stream: Stream) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(Some(running)) = open.attempts.get_mut(attempt) else { return }; // given up before
+        let Some(sender) = open.answer.take() else { return };
+        if let Some(timer) = running.timer.take() {
+            self.timers.try_remove(&timer);
+        }
+        running.begun = Some(running.sent.elapsed());
+        let _ = sender.send(Answer::Stream(stream)); // the client may have left
+        self.events.push_back(Event::FirstByte { id, attempt });
+    }
+
+    /// Counts how a value ended that had begun to come.
+    fn count_end(&self, id: RequestId, whole: bool) {
+        if let Some(outcomes) = self.open.get(&id).and_then(|open| open.outcomes.as_ref()) {
+            if whole { outcomes.served.add_one() } else { outcomes.failed.add_one() }
+        }
+    }
+
+    fn tell_end(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        elapsed: Duration,
+        hit: Option<bool>,
+    ) {
+        // A value that has begun to come is not the end yet.
+        let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.begun.is_some());
+        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
+        let elapsed = elapsed.as_micros() as Micros;
+        let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
+        self.events.push_back(Event::Outcome(end));
+        self.close_if_done(id);
+    }
+}
--- /dev/null
+++ b/crates/node/src/driver/books.rs
@@ -0,0 +1,49 @@
+//! What the driver keeps of each request, and its clock.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use stonefold_balancer::Micros;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio_util::time::delay_queue;
+
+use crate::metrics::Outcomes;
+use crate::request::{Answer, Command};
+
+/// A request that is owed an answer or has an attempt out.
+pub struct Open {
+    pub command: Arc<Command>,
+    /// Taken by the final answer.
+    pub answer: Option<oneshot::Sender<Answer>>,
+    /// By their numbers; nothing once an attempt has ended.
+    pub attempts: Vec<Option<Running>>,
+    /// Where its end is counted; nowhere for a request of no class.
+    pub outcomes: Option<Arc<Outcomes>>,
+}
+
+pub struct Running {
+    pub sent: Instant,
+    pub task: AbortHandle,
+    /// When it is given up; nothing once its value has begun to come.
+    pub timer: Option<delay_queue::Key>,
+    /// After what time its value began to come.
+    pub begun: Option<Duration>,
+}
+
+/// Time since 1970, which never goes back.
+pub struct Clock {
+    start: Instant,
+    offset: Duration,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), offset }
+    }
+    pub fn now(&self) -> Micros {
+        (self.offset + self.start.elapsed()).as_micros() as Micros
+    }
+}
--- a/src/node/driver.rs
+++ b/crates/node/src/driver/mod.rs
@@ -1,30 +1,34 @@
 //! The one task that owns the module, the open requests and the timers.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod attempts;
+mod books;
+
+use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
 
-use stonefold::setup::{Setup, SetupError, Stated, micros};
-use stonefold::{
-    Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
+use stonefold_balancer::setup::{Setup, micros};
+use stonefold_balancer::{
+    Action, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, TimerToken,
 };
+use stonefold_proto::list::List;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{Notify, oneshot};
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use tokio_util::time::{DelayQueue, delay_queue};
+use tokio_util::time::DelayQueue;
+
+use books::{Clock, Open};
 
-use super::attempt::{self, Connection, Reply};
-use super::config::Config;
-use super::directory::{Directory, Target};
-use super::discovery::List;
-use super::log;
-use super::metrics::{Metrics, Outcomes};
-use super::relay::{Budget, Pass, Stream};
-use super::request::{Answer, Command};
-use super::state::Orders;
+use crate::config::Config;
+use crate::log::log;
+use crate::message::{Arrival, Control, Message, Terms};
+use crate::metrics::Metrics;
+use crate::orders::Orders;
+use crate::relay::Budget;
+use crate::request::Answer;
+use crate::upstream::directory::Directory;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
 const ON_THE_WAY: Micros = 5_000;
@@ -35,86 +39,6 @@
 /// How often the servers are counted for the figures, which may lag half a second.
 const COUNT: Duration = Duration::from_millis(250);
 
-/// What the driver is told.
-///
-/// The channel has no bound of its own: sessions and attempts, of which there are only so many, each
-/// have few messages under way.
-pub enum Message {
-    Arrived(Arrival),
-    Gone(RequestId),
-    /// The value of an attempt has begun to come.
-    Begun(RequestId, usize, Stream),
-    Ended(Ended),
-    List(List),
-    ListFailed,
-}
-
-/// What the settings mean for the parts round the driver.
-#[derive(Clone)]
-pub struct Terms {
-    /// Classes that clients may name.
-    pub classes: HashSet<String>,
-    /// The longest that a client of any class waits.
-    pub longest: Duration,
-}
-
-impl Terms {
-    pub fn of(setup: &Setup) -> Terms {
-        Terms { classes: setup.class_names().clone(), longest: Duration::from_micros(setup.longest_deadline) }
-    }
-}
-
-/// What the driver is told before all else, whatever waits in its inbox.
-pub enum Control {
-    /// The process ends at this time: what comes from now on has to be answered by then.
-    Stopping(Instant),
-    /// Whether there is a server of this name.
-    Known(String, oneshot::Sender<bool>),
-    /// New settings; the answer tells what follows from them for the other parts.
-    Reload(Box<Stated>, oneshot::Sender<Result<Terms, SetupError>>),
-    /// The orders for servers, as they are now. The sender is told once they are in force.
-    Orders(Orders, Option<oneshot::Sender<()>>),
-}
-
-/// A client's request.
-pub struct Arrival {
-    pub id: RequestId,
-    pub command: Command,
-    /// When its last byte was read.
-    pub at: Instant,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// An attempt that has run to its end.
-pub struct Ended {
-    id: RequestId,
-    attempt: usize,
-    reply: Reply,
-    server: ServerId,
-    addr: std::net::SocketAddr,
-    connection: Option<Connection>,
-}
-
-/// A request that is owed an answer or has an attempt out.
-struct Open {
-    command: Arc<Command>,
-    /// Taken by the final answer.
-    answer: Option<oneshot::Sender<Answer>>,
-    /// By their numbers; nothing once an attempt has ended.
-    attempts: Vec<Option<Running>>,
-    /// Where its end is counted; nowhere for a request of no class.
-    outcomes: Option<Arc<Outcomes>>,
-}
-
-struct Running {
-    sent: Instant,
-    task: AbortHandle,
-    /// When it is given up; nothing once its value has begun to come.
-    timer: Option<delay_queue::Key>,
-    /// After what time its value began to come.
-    begun: Option<Duration>,
-}
-
 enum Due {
     Module(TimerToken),
     Attempt(RequestId, usize),
@@ -122,22 +46,6 @@
     Count,
 }
 
-/// Time since 1970, which never goes back.
-struct Clock {
-    start: Instant,
-    offset: Duration,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset }
-    }
-    fn now(&self) -> Micros {
-        (self.offset + self.start.elapsed()).as_micros() as Micros
-    }
-}
-
 /// How the driver hangs together with the other parts.
 pub struct Wiring {
     pub budget: Budget,
@@ -397,128 +305,4 @@
             self.open.remove(&id);
         }
     }
-
-    // ---- attempts ----
-
-    fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
-        let now = Instant::now();
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let attempt = open.attempts.len();
-        let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
-            let held = self.running + self.directory.idle();
-            self.held.store(held, Ordering::Relaxed);
-            if pooled.is_none() && held >= self.connections {
-                self.directory.close_oldest();
-            }
-            pooled.is_some() || self.running < self.connections
-        });
-        let Some((target, pooled)) = place else {
-            open.attempts.push(None);
-            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
-        };
-        let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
-        let task = self.start(id, attempt, server, target, pooled, wait);
-        let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), begun: None }));
-        self.running += 1;
-    }
-
-    fn start(
-        &self,
-        id: RequestId,
-        attempt: usize,
-        server: ServerId,
-        target: Target,
-        pooled: Option<Connection>,
-        wait: Duration,
-    ) -> AbortHandle {
-        let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
-        let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
-        let metrics = self.metrics.clone();
-        let begun = self.to_self.clone();
-        // A driver that is gone drops the stream, and the attempt ends.
-        let begin = move |stream| _ = begun.send(Message::Begun(id, attempt, stream));
-        let pass = Pass { budget: self.budget.clone(), begin: Box::new(begin) };
-        let work = async move {
-            let addr = target.addr;
-            let (reply, connection) =
-                attempt::run(target, pooled, &command, wait, connect_timeout, &metrics.calls, pass).await;
-            let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
-        };
-        tokio::spawn(work).abort_handle()
-    }
-
-    /// Strikes an attempt off; nothing if it has ended before.
-    fn close(&mut self, id: RequestId, attempt: usize) -> Option<Running> {
-        let running = self.open.get_mut(&id)?.attempts.get_mut(attempt)?.take()?;
-        self.running -= 1;
-        Some(running)
-    }
-
-    /// Stops waiting for an attempt: its connection closes.
-    fn give_up(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
-        let Some(running) = self.close(id, attempt) else { return };
-        running.task.abort();
-        if let Some(timer) = running.timer.filter(|_| outcome != Outcome::TimedOut) {
-            self.timers.try_remove(&timer);
-        }
-        self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
-    }
-
-    fn ended(&mut self, ended: Ended) {
-        let Ended { id, attempt, reply, server, addr, connection } = ended;
-        let running = self.close(id, attempt);
-        if let Some(connection) = connection {
-            self.directory.check_in(server, addr, connection, Instant::now());
-        }
-        let Some(running) = running else { return }; // given up before: a late outcome changes nothing
-        if let Some(timer) = running.timer {
-            self.timers.try_remove(&timer);
-        }
-        match running.begun {
-            Some(_) => self.count_end(id, reply.outcome == Outcome::Ok),
-            None if reply.outcome == Outcome::Ok => self.answer(id, Answer::Served(reply.value)),
-            None => {}
-        }
-        // How long a long value takes tells of its length and its client, not of the server.
-        let elapsed = running.begun.unwrap_or_else(|| running.sent.elapsed());
-        self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
-    }
-
-    /// The first value to begin is the answer, whatever becomes of it. Others are dropped, and end for it.
-    fn begun(&mut self, id: RequestId, attempt: usize, stream: Stream) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(Some(running)) = open.attempts.get_mut(attempt) else { return }; // given up before
-        let Some(sender) = open.answer.take() else { return };
-        if let Some(timer) = running.timer.take() {
-            self.timers.try_remove(&timer);
-        }
-        running.begun = Some(running.sent.elapsed());
-        let _ = sender.send(Answer::Stream(stream)); // the client may have left
-        self.events.push_back(Event::FirstByte { id, attempt });
-    }
-
-    /// Counts how a value ended that had begun to come.
-    fn count_end(&self, id: RequestId, whole: bool) {
-        if let Some(outcomes) = self.open.get(&id).and_then(|open| open.outcomes.as_ref()) {
-            if whole { outcomes.served.add_one() } else { outcomes.failed.add_one() }
-        }
-    }
-
-    fn tell_end(
-        &mut self,
-        id: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-        elapsed: Duration,
-        hit: Option<bool>,
-    ) {
-        // A value that has begun to come is not the end yet.
-        let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.begun.is_some());
-        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
-        let elapsed = elapsed.as_micros() as Micros;
-        let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
-        self.events.push_back(Event::Outcome(end));
-        self.close_if_done(id);
-    }
 }
--- a/src/node/mod.rs
+++ b/crates/node/src/lib.rs
@@ -1,50 +1,46 @@
 //! The node on real sockets: carries out what the module decides and tells it what happens.
 
-mod attempt;
-mod caches;
+mod bounds;
 mod clients;
 pub mod config;
-mod directory;
+mod desk;
 mod discovery;
 mod driver;
 mod handover;
+mod log;
+mod message;
 mod metrics;
 mod operator;
-mod origin;
+mod orders;
 mod relay;
 mod reload;
 mod request;
-mod resp;
-mod seats;
-mod state;
+mod upstream;
 
-use std::fmt;
-use std::io::{self, Write};
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::task::TaskTracker;
 
 use config::Config;
-use driver::{Control, Driver, Terms, Wiring};
+use desk::{Desk, follow_orders};
+use driver::{Driver, Wiring};
+use log::log;
+use message::{Control, Terms};
 use metrics::Metrics;
-use operator::Call;
+use orders::{Orders, Store};
 use reload::Follower;
-use state::{Order, Orders, StateError, Store};
 
 /// After word to stop, connections that were on their way are still taken for so long, unless a successor has
 /// them.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// A new connection's first request may be on its way for so long; it is not closed before.
 const FIRST_REQUEST: Duration = Duration::from_millis(500);
-/// How often the orders are looked at: a call to one process binds the other well within the grace.
-const ORDERS: Duration = Duration::from_millis(100);
-/// The driver's answer to an operator's question is waited for so long; the operator waits for a second.
-const IN_TIME: Duration = Duration::from_millis(400);
 /// Directions that may wait for the driver.
 const CONTROLS: usize = 16;
 /// What was taken is answered within the longest deadline, of which the platform grants so much ...
@@ -146,94 +142,3 @@
     }
     Ok(())
 }
-
-/// What operators are answered from.
-struct Desk {
-    /// Whether clients' connections are taken.
-    serving: Arc<AtomicBool>,
-    control: mpsc::Sender<Control>,
-    store: Arc<Store>,
-    metrics: Arc<Metrics>,
-}
-
-/// Why an order is not carried out.
-#[derive(Debug)]
-enum OrderError {
-    Unknown(String),
-    NotKept(StateError),
-    Busy,
-}
-
-impl fmt::Display for OrderError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            OrderError::Unknown(id) => write!(f, "no server {id}"),
-            OrderError::NotKept(error) => write!(f, "cannot keep the order: {error}"),
-            OrderError::Busy => write!(f, "the node does not answer"),
-        }
-    }
-}
-
-impl Desk {
-    /// Takes a server out of use or puts it back. Once this returns, the order is kept and in force.
-    async fn order(&self, id: String, out: bool) -> Result<(), OrderError> {
-        let known = self.tell(|answer| Control::Known(id.clone(), answer)).await?;
-        if !known {
-            return Err(OrderError::Unknown(id));
-        }
-        let change = |orders: &mut Orders| match orders.get(&id) {
-            Some(order) if order.out == out => {} // said before: it stands as it was
-            None if !out => {}
-            _ => _ = orders.insert(id.clone(), Order { out, since_ms: state::now_ms() }),
-        };
-        let orders = self.store.change(change).map_err(OrderError::NotKept)?;
-        self.tell(|done| Control::Orders(orders, Some(done))).await
-    }
-
-    /// Tells the driver something, and waits for its answer as long as an operator may wait for ours.
-    async fn tell<T>(&self, control: impl FnOnce(oneshot::Sender<T>) -> Control) -> Result<T, OrderError> {
-        let (sender, answer) = oneshot::channel();
-        let told = async {
-            self.control.send(control(sender)).await.ok()?;
-            answer.await.ok()
-        };
-        timeout(IN_TIME, told).await.ok().flatten().ok_or(OrderError::Busy)
-    }
-}
-
-impl operator::Desk for Desk {
-    async fn answer(&self, call: Call) -> String {
-        match call {
-            Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
-            Call::Ready => "fail not serving".into(),
-            Call::Stats => self.metrics.text() + "eof",
-            Call::Disable(id) => said(self.order(id, true).await),
-            Call::Enable(id) => said(self.order(id, false).await),
-        }
-    }
-}
-
-fn said(done: Result<(), OrderError>) -> String {
-    match done {
-        Ok(()) => "ok".into(),
-        Err(error) => format!("fail {error}"),
-    }
-}
-
-/// Takes over what other processes of this node were ordered.
-async fn follow_orders(store: Arc<Store>, control: mpsc::Sender<Control>) {
-    loop {
-        sleep(ORDERS).await;
-        if store.changed() {
-            match store.load() {
-                Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
-                Err(error) => log(format_args!("orders: {error}; those in force stay")),
-            }
-        }
-    }
-}
-
-/// A line for the log. Guards against: a panic where nobody reads the log any more.
-fn log(line: fmt::Arguments) {
-    let _ = writeln!(io::stderr(), "{line}");
-}
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,77 @@
+//! What the parts of the node tell the driver.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use stonefold_balancer::setup::{Setup, SetupError, Stated};
+use stonefold_balancer::{RequestId, ServerId};
+use stonefold_proto::list::List;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::orders::Orders;
+use crate::relay::Stream;
+use crate::request::{Answer, Command};
+use crate::upstream::connection::Connection;
+use crate::upstream::reply::Reply;
+
+/// What the driver is told.
+///
+/// The channel has no bound of its own: sessions and attempts, of which there are only so many, each
+/// have few messages under way.
+pub enum Message {
+    Arrived(Arrival),
+    Gone(RequestId),
+    /// The value of an attempt has begun to come.
+    Begun(RequestId, usize, Stream),
+    Ended(Ended),
+    List(List),
+    ListFailed,
+}
+
+/// What the settings mean for the parts round the driver.
+#[derive(Clone)]
+pub struct Terms {
+    /// Classes that clients may name.
+    pub classes: HashSet<String>,
+    /// The longest that a client of any class waits.
+    pub longest: Duration,
+}
+
+impl Terms {
+    pub fn of(setup: &Setup) -> Terms {
+        Terms { classes: setup.class_names().clone(), longest: Duration::from_micros(setup.longest_deadline) }
+    }
+}
+
+/// What the driver is told before all else, whatever waits in its inbox.
+pub enum Control {
+    /// The process ends at this time: what comes from now on has to be answered by then.
+    Stopping(Instant),
+    /// Whether there is a server of this name.
+    Known(String, oneshot::Sender<bool>),
+    /// New settings; the answer tells what follows from them for the other parts.
+    Reload(Box<Stated>, oneshot::Sender<Result<Terms, SetupError>>),
+    /// The orders for servers, as they are now. The sender is told once they are in force.
+    Orders(Orders, Option<oneshot::Sender<()>>),
+}
+
+/// A client's request.
+pub struct Arrival {
+    pub id: RequestId,
+    pub command: Command,
+    /// When its last byte was read.
+    pub at: Instant,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// An attempt that has run to its end.
+pub struct Ended {
+    pub id: RequestId,
+    pub attempt: usize,
+    pub reply: Reply,
+    pub server: ServerId,
+    pub addr: SocketAddr,
+    pub connection: Option<Connection>,
+}
--- a/src/node/operator.rs
+++ b/crates/node/src/operator.rs
@@ -15,7 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use super::log;
+use crate::log::log;
 
 /// Callers at a time. Beyond that a newcomer takes the place of the one who came first.
 pub const CALLERS: usize = 8;
--- a/src/node/reload.rs
+++ b/crates/node/src/reload.rs
@@ -8,10 +8,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
-use super::config::{ConfigError, Followed};
-use super::driver::{Control, Terms};
-use super::log;
-use super::metrics::Metrics;
+use crate::config::{ConfigError, Followed};
+use crate::log::log;
+use crate::message::{Control, Terms};
+use crate::metrics::Metrics;
 
 /// A class that the settings have dropped is still taken for so long: its last requests are on their way.
 const LAST_REQUESTS: Duration = Duration::from_secs(1);
--- a/src/node/request.rs
+++ b/crates/node/src/request.rs
@@ -3,9 +3,9 @@
 use std::str;
 
 use bytes::Bytes;
-use stonefold::Micros;
+use stonefold_balancer::Micros;
 
-use super::relay::Stream;
+use crate::relay::Stream;
 
 /// A client's request.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/node/src/upstream/attempt.rs
@@ -0,0 +1,48 @@
+//! One attempt at a server: a connection, the request, the answer.
+
+use std::time::Duration;
+
+use stonefold_balancer::Outcome;
+use tokio::time::timeout;
+
+use super::connection::{Connection, out_of_descriptors};
+use super::directory::Target;
+use super::reply::Reply;
+use crate::metrics::Figure;
+use crate::relay::Pass;
+use crate::request::Command;
+
+/// Makes one attempt. The connection comes back if another request may use it.
+pub async fn run(
+    target: Target,
+    pooled: Option<Connection>,
+    command: &Command,
+    wait: Duration,
+    connect_timeout: Duration,
+    written: &Figure,
+    pass: Pass,
+) -> (Reply, Option<Connection>) {
+    let connection = match pooled {
+        Some(connection) => connection,
+        None => match timeout(connect_timeout, Connection::open(target.addr, target.origin)).await {
+            Ok(Ok(connection)) => connection,
+            // Out of descriptors: no fault of the server's.
+            Ok(Err(error)) if out_of_descriptors(&error) => return (Reply::of(Outcome::Ignored), None),
+            Ok(Err(_)) | Err(_) => return (Reply::of(Outcome::ConnectError), None),
+        },
+    };
+    // Guards against: a first byte to a server that was drained while the connection came up.
+    if !target.standing.serving() {
+        return (Reply::of(Outcome::Ignored), None);
+    }
+    match connection {
+        Connection::Cache(connection) => {
+            let (reply, connection) = connection.ask(command, wait, written, pass).await;
+            (reply, connection.map(Connection::Cache))
+        }
+        Connection::Origin(connection) => {
+            let (reply, connection) = connection.ask(command, target.addr, written, pass).await;
+            (reply, connection.map(Connection::Origin))
+        }
+    }
+}
--- a/src/node/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -8,16 +8,16 @@
 use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use socket2::SockRef;
-use stonefold::Outcome;
+use stonefold_balancer::Outcome;
+use stonefold_proto::resp::{Malformed, next_frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::attempt::Reply;
-use super::metrics::Figure;
-use super::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
-use super::request::Command;
-use super::resp::{Malformed, next_frame};
+use super::reply::Reply;
+use crate::metrics::Figure;
+use crate::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
+use crate::request::Command;
 
 /// A value that is passed on whole, and what stands round it.
 const LARGEST: usize = WHOLE + TAIL;
--- /dev/null
+++ b/crates/node/src/upstream/connection.rs
@@ -0,0 +1,44 @@
+//! A connection to a server, whatever it speaks.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::net::TcpStream;
+
+use super::{caches, origin};
+
+/// A connection to a server, between requests.
+pub enum Connection {
+    Cache(caches::Connection),
+    Origin(origin::Connection),
+}
+
+impl Connection {
+    /// Connects to a cache, or to the origin.
+    pub async fn open(addr: SocketAddr, origin: bool) -> io::Result<Connection> {
+        let stream = dial(addr).await?;
+        Ok(match origin {
+            false => Connection::Cache(caches::Connection::new(stream)),
+            true => Connection::Origin(origin::Connection::new(stream).await?),
+        })
+    }
+
+    /// Whether the server has left it open and said nothing unasked.
+    pub fn is_live(&self) -> bool {
+        match self {
+            Connection::Cache(connection) => connection.is_live(),
+            Connection::Origin(connection) => connection.is_live(),
+        }
+    }
+}
+
+async fn dial(addr: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// EMFILE or ENFILE, which the standard library gives no kind.
+pub fn out_of_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(23 | 24))
+}
--- a/src/node/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -7,13 +7,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use stonefold::setup::{Setup, micros};
-use stonefold::{Member, MemberState, ServerId};
+use stonefold_balancer::setup::{Setup, micros};
+use stonefold_balancer::{Member, MemberState, ServerId};
+use stonefold_proto::list::{Entry, List, State};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::attempt::Connection;
-use super::discovery::{Entry, List, State};
+use super::connection::Connection;
 
 /// A connection rests for so long before it is used again, if another can be.
 ///
--- /dev/null
+++ b/crates/node/src/upstream/mod.rs
@@ -0,0 +1,8 @@
+//! The servers: their connections, and attempts at them.
+
+pub mod attempt;
+mod caches;
+pub mod connection;
+pub mod directory;
+mod origin;
+pub mod reply;
--- a/src/node/origin.rs
+++ b/crates/node/src/upstream/origin.rs
@@ -11,15 +11,15 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
-use stonefold::Outcome;
+use stonefold_balancer::Outcome;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::attempt::Reply;
-use super::metrics::Figure;
-use super::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
-use super::request::Command;
+use super::reply::Reply;
+use crate::metrics::Figure;
+use crate::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
+use crate::request::Command;
 
 /// What a key may not show in a path.
 const ESCAPED: &AsciiSet = &CONTROLS
--- a/src/wire.rs
+++ b/crates/wirehost/src/lib.rs
@@ -11,9 +11,8 @@
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
-use crate::api::*;
-use crate::brain::Balancer;
-use crate::setup::{Setup, Stated, micros};
+use stonefold_balancer::setup::{Setup, Stated, micros};
+use stonefold_balancer::*;
 
 /// Why the wire could not be followed, and where.
 #[derive(Debug)]
--- a/src/bin/stonefold-wirehost.rs
+++ b/crates/wirehost/src/main.rs
@@ -6,7 +6,7 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    match stonefold::wire::run(input, output, io::stderr()) {
+    match stonefold_wirehost::run(input, output, io::stderr()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("stonefold-wirehost: {error}");
--- a/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire, on hand-written transcripts.
 
-use stonefold::wire::run;
+use stonefold_wirehost::run;
 
 fn answer(input: &str) -> (Result<(), String>, String, String) {
     let (mut output, mut notes) = (Vec::new(), Vec::new());
