Log structured events through a bounded queue that never holds up the node

Cause: log() wrote to standard error from the node's one thread; a pipe that nobody reads fills after some 1,000 lines, and from then on the node answers nobody, not even PING. Lines were free text.

New: server_listed and server_gone for every change of the list, refused and failed at debug, spans for operators' calls and reloads, svc_log_dropped_total.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -153,6 +153,8 @@
     addr: SocketAddr,
     operator: Option<SocketAddr>,
     config: tempfile::NamedTempFile,
+    /// The log, held open though nobody reads it.
+    _log: Option<ChildStderr>,
 }
 
 /// The settings of the tests: classes of each effect, an origin beside the caches.
@@ -199,6 +201,8 @@
     pub passed: Option<&'a TcpListener>,
     /// What both processes of an upgrade share.
     pub shared: Option<&'a Path>,
+    /// Whether the log's pipe stays open, unread; else it closes.
+    pub unread: bool,
 }
 
 impl Node {
@@ -219,11 +223,13 @@
             operator: false,
             passed: None,
             shared: None,
+            unread: false,
         }
     }
 
     pub fn node(self) -> Node {
-        let Start { known, discovery, sockets, memory_mb, settings, shell, operator, passed, shared } = self;
+        let Start { known, discovery, sockets, memory_mb, settings, shell, operator, passed, shared, unread } =
+            self;
         let config = format!(
             r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{known},"settings":{settings}}}"#
         );
@@ -251,12 +257,16 @@
         while addr.is_none() || operator && operators.is_none() {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "ended at its start");
-            let told = |start: &str| line.trim().strip_prefix(start).map(|addr| addr.parse().unwrap());
-            addr = told("listening on ").or(addr);
-            operators = told("operators call at ").or(operators);
+            let told = |event: &str| {
+                let (_, at) = line.split_once(&format!(r#"event="{event}" at="#))?;
+                Some(at.trim().parse().unwrap())
+            };
+            addr = told("listening").or(addr);
+            operators = told("operator_listening").or(operators);
         }
         // From here on nobody reads the log, which the node must not mind.
-        Node { child, addr: addr.unwrap(), operator: operators, config: file }
+        let log = unread.then(|| log.into_inner());
+        Node { child, addr: addr.unwrap(), operator: operators, config: file, _log: log }
     }
 }
 
--- a/crates/cli/tests/operation.rs
+++ b/crates/cli/tests/operation.rs
@@ -399,3 +399,19 @@
     }
     assert_eq!(figure(&node, "svc_failure_total{tier=\"put\"}"), 1);
 }
+
+#[test]
+fn a_log_that_nobody_reads_costs_lines_and_no_answers() {
+    let scene = Scene::new();
+    // Each refusal is a line: together they are more than the pipe and the queue hold.
+    let (known, shell) = (scene.known(), "STONEFOLD_LOG=debug exec \"$0\"");
+    let start = Start::new(&known, scene.discovery.addr);
+    let node = Start { shell, unread: true, operator: true, ..start }.node();
+    let mut client = node.client();
+    for n in 0..4000 {
+        client.send(&["CACHE.GET", "k", &format!("{n:016}"), "c=read,d=0"]);
+        assert!(client.answer().unwrap().starts_with('-'));
+    }
+    client.ping();
+    assert!(figure(&node, "svc_log_dropped_total") > 0);
+}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -17,12 +17,12 @@
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::warn;
 
 use seats::Seats;
 use session::Session;
 
 use crate::bounds::Bounds;
-use crate::log::log;
 use crate::message::{Message, Terms};
 use crate::metrics::Metrics;
 use crate::relay::Budget;
@@ -104,7 +104,7 @@
                 }
                 // Guards against: an exit, or a busy loop, when descriptors run out.
                 Err(error) => {
-                    log(format_args!("accept: {error}"));
+                    warn!(event = "accept_failed", front = "clients", %error, "a connection is not taken");
                     self.make_room().await;
                 }
             }
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -7,8 +7,8 @@
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
+use tracing::error;
 
-use crate::log::log;
 use crate::message::Control;
 use crate::metrics::Metrics;
 use crate::operator::{self, Call};
@@ -99,7 +99,7 @@
         if store.changed() {
             match store.load() {
                 Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
-                Err(error) => log(format_args!("orders: {error}; those in force stay")),
+                Err(error) => error!(event = "orders_unreadable", %error, "those in force stay"),
             }
         }
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -15,10 +15,10 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
+use tracing::warn;
 
 use stonefold_proto::list::List;
 
-use crate::log::log;
 use crate::message::Message;
 
 /// How long a watch waits for news in a small fleet. Guards against: a discovery that has fallen silent and is
@@ -129,13 +129,17 @@
             Ok(list) => {
                 (self.whole, self.after) = (false, list.version);
                 if list.skipped > 0 && !self.complained {
-                    log(format_args!("discovery: {} entries can't be read and are skipped", list.skipped));
+                    warn!(
+                        event = "entries_skipped",
+                        entries = list.skipped,
+                        "entries of the list can't be read"
+                    );
                     self.complained = true;
                 }
                 Message::List(list)
             }
             Err(error) => {
-                log(format_args!("discovery: {error}"));
+                warn!(event = "discovery_failed", at = %at, %error, failed = self.failed, "the list stays as it was");
                 Message::ListFailed
             }
         }
--- a/crates/node/src/driver/books.rs
+++ b/crates/node/src/driver/books.rs
@@ -8,6 +8,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::delay_queue;
+use tracing::debug;
 
 use crate::metrics::Outcomes;
 use crate::request::{Answer, Command};
@@ -23,6 +24,20 @@
     pub outcomes: Option<Arc<Outcomes>>,
 }
 
+impl Open {
+    /// What is said of a request that was not served.
+    pub fn note_end(&self, answer: &Answer) {
+        let (event, retry_after_us) = match answer {
+            Answer::Served(_) | Answer::Stream(_) => return,
+            Answer::Busy(wait) => ("refused", *wait),
+            Answer::Failed => ("failed", 0),
+        };
+        debug!(event, class = self.command.fact("c"), tenant = self.command.fact("t"),
+            request = %String::from_utf8_lossy(&self.command.id), attempts = self.attempts.len(), retry_after_us,
+            "a request is not served");
+    }
+}
+
 pub struct Running {
     pub sent: Instant,
     pub task: AbortHandle,
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -18,11 +18,11 @@
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 use tokio_util::time::DelayQueue;
+use tracing::info;
 
 use books::{Clock, Open};
 
 use crate::config::Config;
-use crate::log::log;
 use crate::message::{Arrival, Control, Message, Terms};
 use crate::metrics::Metrics;
 use crate::orders::Orders;
@@ -178,7 +178,11 @@
                 true => Event::Disable(server),
                 false => Event::Enable { server, since: micros(order.since_ms as f64) },
             };
-            log(format_args!("{name} is {} by hand", if order.out { "out" } else { "back" }));
+            let (event_name, words) = match order.out {
+                true => ("server_out", "out of use by hand"),
+                false => ("server_back", "back in use by hand"),
+            };
+            info!(event = event_name, server = name, words);
             self.events.push_back(event);
         }
         self.orders = orders;
@@ -295,6 +299,7 @@
                 };
                 figure.add_one();
             }
+            open.note_end(&answer);
             let _ = sender.send(answer); // the client may have left
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,6 @@
 mod discovery;
 mod driver;
 mod handover;
-mod log;
 mod message;
 mod metrics;
 mod operator;
@@ -22,15 +21,16 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use stonefold_observe::Dropped;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::task::TaskTracker;
+use tracing::{error, info};
 
 use config::Config;
 use desk::{Desk, follow_orders};
 use driver::{Driver, Wiring};
-use log::log;
 use message::{Control, Terms};
 use metrics::Metrics;
 use orders::{Orders, Store};
@@ -48,13 +48,13 @@
 /// ... and so much more: it grants 0.7 s.
 const LAST_WRITES: Duration = Duration::from_millis(600);
 
-/// Serves until SIGTERM, then answers what was taken.
-pub async fn run(mut config: Config) -> io::Result<()> {
+/// Serves until SIGTERM, then answers what was taken. `log` counts the lines that are dropped, for the figures.
+pub async fn run(mut config: Config, log: Dropped) -> io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
     let listener = handover::listener(config.listen).await.map_err(io::Error::other)?;
-    log(format_args!("listening on {}", listener.local_addr()?));
+    info!(event = "listening", at = %listener.local_addr()?, "clients are served");
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
     let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
@@ -69,13 +69,13 @@
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
     let (new_terms, terms) = watch::channel(Terms::of(&config.setup));
-    let metrics = Arc::new(Metrics::default());
+    let metrics = Arc::new(Metrics::new(log));
     terms.borrow().classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
     let store = Arc::new(Store::of_node());
     store.changed();
     let orders = store.load().unwrap_or_else(|error| {
-        log(format_args!("orders: {error}; none are in force"));
+        error!(event = "orders_unreadable", %error, "no orders are in force");
         Orders::new()
     });
     tokio::spawn(follow_orders(store.clone(), control.clone()));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use stonefold_observe::Dropped;
+
 /// A number that only grows, or one that is set.
 #[derive(Default, Debug)]
 pub struct Figure(AtomicU64);
@@ -41,9 +43,15 @@
     pub avoided: Figure,
     pub reloads: Figure,
     pub reloads_refused: Figure,
+    log: Dropped,
 }
 
 impl Metrics {
+    /// Figures that show how many log lines were dropped.
+    pub fn new(log: Dropped) -> Metrics {
+        Metrics { log, ..Metrics::default() }
+    }
+
     /// The counts of a class, which are shown from now on.
     pub fn class(&self, name: &str) -> Arc<Outcomes> {
         let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -66,16 +74,17 @@
                 let _ = writeln!(text, "{name}{{tier=\"{}\"}} {value}", escaped(class));
             }
         }
-        for (name, kind, figure) in [
-            ("svc_backend_calls_total", "counter", &self.calls),
-            ("svc_inflight", "gauge", &self.in_flight),
-            ("svc_hosts_listed", "gauge", &self.listed),
-            ("svc_hosts_down", "gauge", &self.avoided),
-            ("svc_reconfig_ok_total", "counter", &self.reloads),
-            ("svc_reconfig_failed_total", "counter", &self.reloads_refused),
+        for (name, kind, value) in [
+            ("svc_backend_calls_total", "counter", self.calls.get()),
+            ("svc_inflight", "gauge", self.in_flight.get()),
+            ("svc_hosts_listed", "gauge", self.listed.get()),
+            ("svc_hosts_down", "gauge", self.avoided.get()),
+            ("svc_reconfig_ok_total", "counter", self.reloads.get()),
+            ("svc_reconfig_failed_total", "counter", self.reloads_refused.get()),
+            ("svc_log_dropped_total", "counter", self.log.lines()),
         ] {
             head(&mut text, name, kind);
-            let _ = writeln!(text, "{name} {}", figure.get());
+            let _ = writeln!(text, "{name} {value}");
         }
         text
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,8 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
-
-use crate::log::log;
+use tracing::{Instrument, info, info_span, warn};
 
 /// Callers at a time. Beyond that a newcomer takes the place of the one who came first.
 pub const CALLERS: usize = 8;
@@ -105,7 +104,7 @@
         match TcpListener::bind(at).await {
             Ok(listener) => break listener,
             Err(error) if !complained => {
-                log(format_args!("operator: cannot listen on {at} yet: {error}"));
+                warn!(event = "operator_waits", %at, %error, "cannot listen for operators yet");
                 complained = true;
             }
             Err(_) => {}
@@ -113,7 +112,7 @@
         sleep(PAUSE).await;
     };
     if let Ok(at) = listener.local_addr() {
-        log(format_args!("operators call at {at}"));
+        info!(event = "operator_listening", %at, "operators are served");
     }
     attend(listener, desk).await;
 }
@@ -124,7 +123,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log(format_args!("operator: accept: {error}"));
+                warn!(event = "accept_failed", front = "operator", %error, "a call is not taken");
                 sleep(PAUSE).await;
                 continue;
             }
@@ -147,7 +146,10 @@
     let mut line = Vec::new();
     (&mut stream).take(LINE).read_until(b'\n', &mut line).await?;
     let mut answer = match Call::parse(&line) {
-        Ok(call) => desk.answer(call).await,
+        Ok(call) => {
+            let span = info_span!("call", ?call);
+            desk.answer(call).instrument(span).await
+        }
         Err(error) => format!("fail {error}"),
     };
     answer.push('\n');
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -7,9 +7,9 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
+use tracing::{Instrument, error, info, info_span};
 
 use crate::config::{ConfigError, Followed};
-use crate::log::log;
 use crate::message::{Control, Terms};
 use crate::metrics::Metrics;
 
@@ -33,11 +33,11 @@
         loop {
             let at = settled.as_ref().map(|(at, _)| *at);
             tokio::select! {
-                Some(()) = reload.recv() => match self.take().await {
+                Some(()) = reload.recv() => match self.take().instrument(info_span!("reload")).await {
                     Ok(terms) => settled = Some((Instant::now() + LAST_REQUESTS, terms)),
                     Err(error) => {
                         self.metrics.reloads_refused.add_one();
-                        log(format_args!("configuration kept as it was: {error}"));
+                        error!(event = "reload_refused", %error, "configuration kept as it was");
                     }
                 },
                 () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
@@ -65,7 +65,7 @@
         });
         let at = new.discovery;
         self.new_address.send_if_modified(|now| std::mem::replace(now, at) != at);
-        log(format_args!("new configuration, with discovery at {at}"));
+        info!(event = "reloaded", discovery = %at, classes = terms.classes.len(), "new configuration in force");
         self.metrics.reloads.add_one();
         Ok(terms)
     }
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -11,6 +11,7 @@
 use stonefold_balancer::{Member, MemberState, ServerId};
 use stonefold_proto::list::{Entry, List, State};
 use tokio::time::Instant;
+use tracing::info;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
@@ -43,6 +44,9 @@
     /// Whether the list says that it serves.
     up: bool,
     standing: Standing,
+    /// As it was last listed, for what is said of changes.
+    state: MemberState,
+    started_ms: f64,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, Connection)>,
 }
@@ -89,6 +93,7 @@
             self.servers.retain(|id, server| {
                 listed(&server.name) || {
                     server.close();
+                    info!(event = "server_gone", server = server.name, "a server has left the list");
                     note_gone(gone, &server.name, banned.contains_key(id))
                 }
             });
@@ -104,12 +109,15 @@
             State::Draining => MemberState::Draining,
             State::Deleted => MemberState::Removed,
         };
+        let new = !self.servers.contains_key(&id);
         let server = self.servers.entry(id).or_insert_with(|| Server {
             name: entry.id,
             addr: entry.addr,
             origin,
             up: true,
             standing: Standing(Arc::new(AtomicBool::new(true))),
+            state,
+            started_ms: entry.started_ms,
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -117,6 +125,11 @@
             server.addr = entry.addr;
             server.idle.clear();
         }
+        if new || server.state != state || server.started_ms != entry.started_ms {
+            info!(event = "server_listed", server = server.name, at = %entry.addr, zone = entry.zone,
+                kind = entry.kind, state = ?entry.state, started_ms = entry.started_ms, "a server has changed");
+        }
+        (server.state, server.started_ms) = (state, entry.started_ms);
         server.up = state == MemberState::Up;
         server.stand(self.banned.contains_key(&id));
         if state == MemberState::Removed
