Add a command line and a TOML configuration whose refusals name their place

Need: a node could only be told things by the platform's JSON and environment; a mistake had no place, and nobody could ask a node anything without writing RESP2 by hand.

One fault found by the tests: cargo's own STONEFOLD_ variables were read as configuration; now only names with a __ are.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,176 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use stonefold_observe::{Format as LogFormat, Levels};
+
+const VERSION: &str = concat!(env!("CARGO_PKG_VERSION"), " (", env!("STONEFOLD_COMMIT"), ")");
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 usage or bad configuration.";
+
+/// A cache proxy for many nodes before one slow origin.
+#[derive(Parser)]
+#[command(name = "stonefold", version = VERSION, arg_required_else_help = true, after_help = EXIT_CODES)]
+pub struct Args {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Run one node until it is told to stop.
+    Node(NodeArgs),
+    /// Check a configuration file, as a node would before it acts on it.
+    Check(CheckArgs),
+    /// Read one key through a node.
+    Get(GetArgs),
+    /// Write one key through a node.
+    Set(SetArgs),
+    /// Make one operators' call to a node.
+    Call(CallArgs),
+    /// Print completions for a shell.
+    #[command(
+        after_help = "Example: stonefold completions bash > ~/.local/share/bash-completion/completions/stonefold"
+    )]
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+    /// Print the manual page.
+    #[command(after_help = "Example: stonefold man | man -l -")]
+    Man,
+}
+
+const NODE_HELP: &str = "\
+Without --config the node takes the platform's environment: EDGE_CONFIG names a JSON file; EDGE_LISTEN,
+EDGE_DISCOVERY and EDGE_OPERATOR go before what it says. SIGHUP takes a changed file whole or not at all; SIGTERM
+ends the node once all that it took is answered.
+
+Examples:
+  stonefold node --config deploy/node.toml
+  stonefold node --config deploy/node.toml --set node.listen=127.0.0.1:7000 --log info,stonefold_node=debug
+  EDGE_CONFIG=config.json EDGE_LISTEN=127.0.0.1:6379 EDGE_DISCOVERY=127.0.0.1:8500 stonefold node";
+
+#[derive(clap::Args)]
+#[command(after_help = NODE_HELP)]
+pub struct NodeArgs {
+    /// A TOML file; see deploy/node.toml.
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// A value that goes before the file's and the environment's; may be given more than once.
+    #[arg(long, value_name = "KEY=VALUE", requires = "config")]
+    pub set: Vec<String>,
+    /// What is logged, by target: `info`, `warn,stonefold_node=debug`.
+    #[arg(long, value_name = "LEVELS", env = "STONEFOLD_LOG")]
+    pub log: Option<Levels>,
+    /// The form of log lines: text or json.
+    #[arg(long, value_name = "FORM", env = "STONEFOLD_LOG_FORMAT")]
+    pub log_format: Option<LogFormat>,
+}
+
+const CHECK_HELP: &str = "\
+A file that ends in .json is read as the platform's configuration, any other as TOML.
+
+Examples:
+  stonefold check deploy/node.toml
+  stonefold check deploy/node.toml --explain
+  stonefold check --schema > deploy/node.schema.json";
+
+#[derive(clap::Args)]
+#[command(after_help = CHECK_HELP)]
+pub struct CheckArgs {
+    /// The file.
+    #[arg(required_unless_present = "schema")]
+    pub file: Option<PathBuf>,
+    /// Print every value that would be in force, and where it came from.
+    #[arg(long)]
+    pub explain: bool,
+    /// Print the JSON Schema of the TOML file instead.
+    #[arg(long, conflicts_with_all = ["file", "explain"])]
+    pub schema: bool,
+    /// A value that goes before the file's and the environment's.
+    #[arg(long, value_name = "KEY=VALUE")]
+    pub set: Vec<String>,
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// How results are printed.
+#[derive(Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// What get and set have in common.
+#[derive(clap::Args)]
+pub struct RequestArgs {
+    /// The node.
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:6379", env = "STONEFOLD_ADDRESS")]
+    pub node: SocketAddr,
+    /// The class, one of the node's settings; none is a plain request.
+    #[arg(long)]
+    pub class: Option<String>,
+    /// The tenant.
+    #[arg(long)]
+    pub tenant: Option<String>,
+    /// How long to wait for the answer.
+    #[arg(long, value_name = "TIME", default_value = "1s", value_parser = humantime::parse_duration)]
+    pub deadline: Duration,
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+#[derive(clap::Args)]
+#[command(
+    after_help = "Example: stonefold get book:12 --node 127.0.0.1:6379 --class record-lookup --deadline 600ms"
+)]
+pub struct GetArgs {
+    /// The key.
+    pub key: String,
+    #[command(flatten)]
+    pub request: RequestArgs,
+}
+
+#[derive(clap::Args)]
+#[command(
+    after_help = "Example: stonefold set hold:12 reader-7 --class hold-place --idempotency-key 5c0f6e1a --deadline 5s"
+)]
+pub struct SetArgs {
+    /// The key.
+    pub key: String,
+    /// The value; `-` reads it from standard input.
+    pub value: String,
+    /// The key under which servers discard repeats.
+    #[arg(long, value_name = "KEY")]
+    pub idempotency_key: Option<String>,
+    #[command(flatten)]
+    pub request: RequestArgs,
+}
+
+const CALL_HELP: &str = "\
+Calls: READY, STATS, DISABLE ID, ENABLE ID.
+
+Examples:
+  stonefold call 127.0.0.1:9901 READY
+  stonefold call 127.0.0.1:9901 STATS --format json
+  stonefold call 127.0.0.1:9901 DISABLE s-5be2a07c";
+
+#[derive(clap::Args)]
+#[command(after_help = CALL_HELP)]
+pub struct CallArgs {
+    /// Where operators call the node.
+    pub address: SocketAddr,
+    /// The call.
+    #[arg(required = true, num_args = 1..)]
+    pub call: Vec<String>,
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,7 @@
+//! One module for each command.
+
+pub mod call;
+pub mod check;
+pub mod node;
+pub mod request;
+pub mod texts;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,47 +1,28 @@
-//! One cache-proxy node: reads its configuration, serves until it is told to stop.
+//! The `stonefold` program: a thin shell over the other crates.
+
+mod args;
+mod client;
+mod commands;
+mod failure;
 
-use std::env;
-use std::error::Error;
-use std::fmt::Display;
-use std::io::{self, Write};
 use std::process::ExitCode;
 
-use stonefold_node::config::Config;
-use stonefold_observe::{Logging, Options};
+use clap::Parser;
+
+use args::{Args, Command};
 
 fn main() -> ExitCode {
-    let log = match log_options().and_then(|options| Ok(Logging::to_stderr(options)?)) {
-        Ok(log) => log,
-        Err(error) => return failed(error),
-    };
-    let config = match Config::from_env() {
-        Ok(config) => config,
-        Err(error) => return failed(error),
+    let done = match Args::parse().command {
+        Command::Node(args) => commands::node::run(args),
+        Command::Check(args) => commands::check::run(args),
+        Command::Get(args) => commands::request::get(args),
+        Command::Set(args) => commands::request::set(args),
+        Command::Call(args) => commands::call::run(args),
+        Command::Completions { shell } => commands::texts::completions(shell),
+        Command::Man => commands::texts::man(),
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => return failed(error),
-    };
-    match runtime.block_on(stonefold_node::run(config, log.dropped())) {
+    match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => failed(error),
-    }
-}
-
-/// What the environment says of the log.
-fn log_options() -> Result<Options, Box<dyn Error>> {
-    let mut options = Options::default();
-    if let Ok(levels) = env::var("STONEFOLD_LOG") {
-        options.levels = levels.parse()?;
-    }
-    if let Ok(format) = env::var("STONEFOLD_LOG_FORMAT") {
-        options.format = format.parse()?;
+        Err(failure) => failure.told(),
     }
-    Ok(options)
-}
-
-fn failed(error: impl Display) -> ExitCode {
-    // Guards against: a panic where standard error is closed.
-    let _ = writeln!(io::stderr(), "stonefold: {error}");
-    ExitCode::FAILURE
 }
--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -180,7 +180,7 @@
     format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, entries.join(","))
 }
 
-/// The program, by way of a shell command that ends in `exec "$0"`.
+/// The program, by way of a shell command that ends in `exec "$0" node`.
 pub fn program(shell: &str) -> Command {
     let mut command = Command::new("/bin/sh");
     command.args(["-c", shell, env!("CARGO_BIN_EXE_stonefold")]).env_clear().stderr(Stdio::piped());
@@ -219,7 +219,7 @@
             sockets: 1024,
             memory_mb: 192,
             settings: SETTINGS,
-            shell: "exec \"$0\"",
+            shell: "exec \"$0\" node",
             operator: false,
             passed: None,
             shared: None,
@@ -286,6 +286,11 @@
         answer
     }
 
+    /// Where operators call.
+    pub fn operators(&self) -> SocketAddr {
+        self.operator.unwrap()
+    }
+
     /// An operator's connection.
     pub fn caller(&self) -> TcpStream {
         let stream = TcpStream::connect(self.operator.unwrap()).unwrap();
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -594,7 +594,7 @@
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), "{\"seed\":\"1\",\"settings\":{\"Classes\":7}}").unwrap();
     for config in [None, Some("/nonexistent".as_ref()), Some(file.path())] {
-        let mut command = program("exec \"$0\"");
+        let mut command = program("exec \"$0\" node");
         command.env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", "127.0.0.1:1");
         if let Some(path) = config {
             command.env("EDGE_CONFIG", path);
@@ -613,7 +613,8 @@
     let s = stage(1);
     let known = list(41, &named(&s.caches), s.origin.addr);
     // The limits stated are above what the system grants.
-    let node = Start { shell: "ulimit -n 40; exec \"$0\"", ..Start::new(&known, s.discovery.addr) }.node();
+    let node =
+        Start { shell: "ulimit -n 40; exec \"$0\" node", ..Start::new(&known, s.discovery.addr) }.node();
     let mut idle: Vec<Client> = (0..100).map(|_| node.client()).collect();
     let mut client = node.client();
     client.get("k", "c=read,d=15000");
--- a/crates/cli/tests/operation.rs
+++ b/crates/cli/tests/operation.rs
@@ -121,10 +121,10 @@
     let config = format!(r#"{{"seed":"1","settings":{SETTINGS}}}"#);
     std::fs::write(file.path(), config).unwrap();
     for (named, shell) in [
-        ("4", "exec \"$0\""),
-        ("0", "exec \"$0\" </dev/null"),
-        ("four", "exec \"$0\""),
-        ("-1", "exec \"$0\""),
+        ("4", "exec \"$0\" node"),
+        ("0", "exec \"$0\" node </dev/null"),
+        ("four", "exec \"$0\" node"),
+        ("-1", "exec \"$0\" node"),
     ] {
         let output = program(shell)
             .env("EDGE_LISTEN", "127.0.0.1:0")
@@ -404,7 +404,7 @@
 fn a_log_that_nobody_reads_costs_lines_and_no_answers() {
     let scene = Scene::new();
     // Each refusal is a line: together they are more than the pipe and the queue hold.
-    let (known, shell) = (scene.known(), "STONEFOLD_LOG=debug exec \"$0\"");
+    let (known, shell) = (scene.known(), "STONEFOLD_LOG=debug exec \"$0\" node");
     let start = Start::new(&known, scene.discovery.addr);
     let node = Start { shell, unread: true, operator: true, ..start }.node();
     let mut client = node.client();
--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,189 @@
+//! The program from outside: its commands, its exit codes, its own configuration file.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Output, Stdio};
+
+use fakes::*;
+
+fn stonefold(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_stonefold")).args(args).output().unwrap()
+}
+
+fn told(output: &Output) -> (i32, String, String) {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code().unwrap(), text(&output.stdout), text(&output.stderr))
+}
+
+#[test]
+fn what_cannot_be_used_ends_with_2_and_what_fails_with_1() {
+    let dir = tempfile::tempdir().unwrap();
+    let bad = dir.path().join("bad.toml");
+    std::fs::write(&bad, "[node]\nlisen = \"127.0.0.1:1\"").unwrap();
+    let bad = bad.to_str().unwrap();
+    let unusable: [&[&str]; 7] = [
+        &[],
+        &["fly"],
+        &["node", "--config", bad],
+        &["check", bad],
+        &["check", "/nowhere.toml"],
+        &["get", "key", "--tenant", "a,b"],
+        &["node", "--config", bad, "--log", "loud"],
+    ];
+    for args in unusable {
+        let (code, out, err) = told(&stonefold(args));
+        assert!(code == 2 && out.is_empty() && !err.is_empty(), "{args:?}: {code} {err}");
+    }
+    let (_, _, err) = told(&stonefold(&["check", bad]));
+    assert!(err.contains("bad.toml:2:1: node.lisen: unknown key"), "{err}");
+    for args in [["get", "k", "--node", "127.0.0.1:1"], ["call", "127.0.0.1:1", "READY", "--format=text"]] {
+        let (code, out, err) = told(&stonefold(&args));
+        assert!(code == 1 && out.is_empty() && err.contains("127.0.0.1:1"), "{args:?}: {code} {err}");
+    }
+}
+
+#[test]
+fn help_versions_and_texts_are_there() {
+    for command in ["node", "check", "get", "set", "call", "completions"] {
+        let (code, out, _) = told(&stonefold(&[command, "--help"]));
+        assert!(code == 0 && out.contains("Example"), "{command}: {out}");
+    }
+    assert!(told(&stonefold(&["--version"])).1.starts_with(concat!(
+        "stonefold ",
+        env!("CARGO_PKG_VERSION"),
+        " ("
+    )));
+    assert!(told(&stonefold(&["completions", "bash"])).1.contains("--explain"));
+    assert!(told(&stonefold(&["man"])).1.contains(".SH"));
+}
+
+/// A node that runs by our own file.
+struct Own {
+    child: Child,
+    addr: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+impl Own {
+    fn start(file: &Path) -> Own {
+        let mut child = program(r#"exec "$0" node --config "$FILE" --log-format json"#)
+            .env("FILE", file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let mut own = Own { child, addr: "127.0.0.1:0".parse().unwrap(), log };
+        let line = own.event("listening");
+        let at = line.split(r#""at":""#).nth(1).and_then(|rest| rest.split('"').next());
+        own.addr = at.unwrap().parse().unwrap();
+        own
+    }
+
+    /// Waits for an event; tells its line.
+    fn event(&mut self, name: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "no {name}");
+            if line.contains(&format!(r#""event":"{name}""#)) {
+                return line;
+            }
+        }
+    }
+
+    fn hang_up(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
+    }
+}
+
+impl Drop for Own {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn own_file(cache: SocketAddr, origin: SocketAddr, discovery: SocketAddr) -> String {
+    format!(
+        r#"
+[node]
+listen = "127.0.0.1:0"
+discovery = "{discovery}"
+[fleet]
+subscribe = false
+[[class]]
+name = "read"
+aim = "300ms"
+deadline = "10s"
+effect = "safe"
+[[server]]
+id = "s-1"
+addr = "{cache}"
+[[server]]
+id = "o"
+addr = "{origin}"
+kind = "origin"
+"#
+    )
+}
+
+#[test]
+fn a_node_by_our_own_file_serves_get_and_set_and_takes_a_new_file_whole_or_not() {
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("node.toml");
+    let text = own_file(cache.addr, origin.addr, discovery.addr);
+    std::fs::write(&file, &text).unwrap();
+    let mut node = Own::start(&file);
+    let at = node.addr.to_string();
+    let asking = |args: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stonefold"));
+        command
+            .args(args)
+            .args(["--node", &at, "--deadline", "10s"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        command.spawn().unwrap()
+    };
+    let done = |child: Child| told(&child.wait_with_output().unwrap());
+
+    let get = asking(&["get", "book:1", "--class", "read"]);
+    cache.call().value("a value");
+    assert_eq!(done(get), (0, "a value\n".into(), String::new()));
+    let set = asking(&["set", "book:1", "new", "--format", "json"]);
+    let mut call = origin.call();
+    assert_eq!((call.words[0].as_str(), call.words.last().unwrap().as_str()), ("PUT", "new"));
+    call.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    let (code, out, _) = done(set);
+    assert!(code == 0 && out.contains(r#""outcome":"served""#), "{out}");
+    let (code, _, err) = done(asking(&["get", "book:1", "--class", "other"]));
+    assert!(code == 1 && err.contains("unknown class"), "{err}");
+
+    std::fs::write(&file, text.replace("\"read\"", "\"other\"").replace("300ms", "none")).unwrap();
+    node.hang_up();
+    assert!(node.event("reload_refused").contains("class[0].aim"));
+    std::fs::write(&file, text.replace("\"read\"", "\"other\"")).unwrap();
+    node.hang_up();
+    node.event("reloaded");
+    let get = asking(&["get", "book:1", "--class", "other"]);
+    cache.call().value("another");
+    assert_eq!(done(get).1, "another\n");
+}
+
+#[test]
+fn operators_calls_by_the_program() {
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let known = list(1, &[("s-1", cache.addr)], origin.addr);
+    let node = Start { operator: true, ..Start::new(&known, discovery.addr) }.node();
+    node.client().ping();
+    let at = node.operators().to_string();
+    assert_eq!(told(&stonefold(&["call", &at, "READY"])), (0, "ok\n".into(), String::new()));
+    let (code, out, _) = told(&stonefold(&["call", &at, "STATS", "--format", "json"]));
+    assert!(code == 0 && out.contains(r#""svc_hosts_listed":1.0"#), "{out}");
+    let (code, _, err) = told(&stonefold(&["call", &at, "DISABLE", "nobody"]));
+    assert!(code == 1 && err.contains("no server nobody"), "{err}");
+}
--- /dev/null
+++ b/crates/config/tests/refusals.rs
@@ -0,0 +1,154 @@
+//! Every refusal names the place, the key, what is allowed and the nearest name; nothing is taken in part.
+
+use std::fs;
+use std::path::PathBuf;
+
+use stonefold_config::{Config, Layers, Loaded, Origin, load, schema};
+
+const GOOD: &str = r#"
+[node]
+listen = "127.0.0.1:6379"
+discovery = "127.0.0.1:8500"
+
+[[class]]
+name = "read"
+aim = "600ms"
+deadline = "1s 200ms"
+effect = "safe"
+"#;
+
+fn layers(text: &str) -> (tempfile::TempDir, Layers) {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("node.toml");
+    fs::write(&path, text).unwrap();
+    (dir, Layers { file: Some(path), ..Layers::default() })
+}
+
+fn refused(text: &str) -> String {
+    let (_dir, layers) = layers(text);
+    let error = load::<Config>(&layers).err().unwrap_or_else(|| panic!("taken: {text}"));
+    let text = error.to_string();
+    text.split_once("node.toml:").map_or(text.clone(), |(_, rest)| rest.to_owned())
+}
+
+#[test]
+fn what_is_wrong_is_told_with_its_place_and_what_would_be_right() {
+    let swap = |from: &str, to: &str| GOOD.replace(from, to);
+    let cases = [
+        (swap("listen", "lisen"), "3:1: node.lisen: unknown key", "did you mean `listen`?"),
+        (swap("[node]", "[nod]"), "2:2: nod: unknown key", "did you mean `node`?"),
+        (swap("aim", "amount"), "8:1: class[0].amount: unknown key", "known here: name, aim, deadline"),
+        (swap("\"600ms\"", "600"), "8:1: class[0].aim", "expected a duration of 1ms to 1h"),
+        (
+            swap("600ms", "2h"),
+            "8:1: class[0].aim",
+            "\"2h\" is not allowed here: expected a duration of 1ms to 1h",
+        ),
+        (swap("600ms", "-5ms"), "8:1: class[0].aim", "1ms to 1h"),
+        (swap("1s 200ms", "500ms"), "9:1: class[0].deadline", "not be shorter than the aim"),
+        (swap("\"safe\"", "\"sfae\""), "10:1: class[0].effect", "`safe`, `keyed`, `unsafe`"),
+        (swap("name = \"read\"\n", ""), "6:1: class[0]", "missing field `name`"),
+        (swap("127.0.0.1:6379", "localhost"), "3:1: node.listen", "invalid socket address"),
+        (swap("listen = \"127.0.0.1:6379\"", ""), "2:2: node.listen", "where clients connect"),
+        (swap("effect", "worth = 0\neffect"), "10:1: class[0].worth", "a number above 0"),
+        (format!("{GOOD}\n[limits]\nmemory = \"1KiB\""), "13:1: limits.memory", "a size of 16MiB to 64GiB"),
+        (
+            format!("{GOOD}\n[limits]\nsockets = 1.5"),
+            "13:1: limits.sockets",
+            "a whole number of 120 to 1048576",
+        ),
+        (format!("{GOOD}\n[log]\nlevel = \"inf\""), "13:1: log.level", "bad log level"),
+        (
+            format!("{GOOD}\n[[class]]\nname = \"read\"\naim=\"1ms\"\ndeadline=\"1ms\"\neffect=\"safe\""),
+            "13:1: class[1].name",
+            "used twice",
+        ),
+        (
+            format!("{GOOD}\n[[tenant]]\nname=\"a\"\nshare=0.8\n[[tenant]]\nname=\"b\"\nshare=0.8"),
+            "12:3: tenant",
+            "add up to 1.600",
+        ),
+        (format!("{GOOD}\n[[tenant]]\nname=\"a,b\"\nshare=0.8"), "13:1: tenant[0].name", "is no name"),
+        (swap("aim = ", "aim "), "8:5", ""),
+        (swap("[node]", "[node"), "2:", ""),
+        (String::new(), "node.listen", "needed"),
+    ];
+    for (text, place, why) in cases {
+        let told = refused(&text);
+        assert!(told.contains(place) && told.contains(why), "{told}\n  should tell {place:?} and {why:?}");
+    }
+}
+
+#[test]
+fn a_file_cut_anywhere_is_refused_or_whole_and_never_panics() {
+    for end in 0..GOOD.len() {
+        let (_dir, layers) = layers(&GOOD[..end]);
+        if let Ok(Loaded { tree, .. }) = load::<Config>(&layers) {
+            assert_eq!(tree.classes.len(), 1, "cut at {end}");
+        }
+    }
+}
+
+#[test]
+fn later_layers_go_before_earlier_ones_and_each_value_tells_its_own() {
+    let (_dir, mut layers) = layers(GOOD);
+    layers.environment = vec![
+        ("STONEFOLD_LIMITS__SOCKETS".into(), "400".into()),
+        ("STONEFOLD_NODE__NAME".into(), "from-env".into()),
+        ("STONEFOLD_LOG".into(), "debug".into()),
+        ("HOME".into(), "/".into()),
+    ];
+    layers.flags = vec!["limits.sockets=500".into(), "connections.keepalive=1m".into()];
+    let loaded = load::<Config>(&layers).unwrap();
+    assert_eq!(loaded.tree.limits.sockets.get(), 500);
+    assert_eq!(loaded.tree.node.name, "from-env");
+    let explained = loaded.explain();
+    let of = |key: &str| {
+        let one = explained.iter().find(|e| e.key == key).unwrap_or_else(|| panic!("{key}"));
+        let origin = match &one.origin {
+            Origin::Default => "default".to_owned(),
+            Origin::Stated(place) => place.to_string().rsplit('/').next().unwrap().to_owned(),
+        };
+        (one.value.clone(), origin)
+    };
+    assert_eq!(of("limits.sockets"), ("500".into(), "flag --set limits.sockets=500".into()));
+    assert_eq!(of("node.name"), ("\"from-env\"".into(), "environment STONEFOLD_NODE__NAME".into()));
+    assert_eq!(of("connections.keepalive").0, "\"1m\"");
+    assert_eq!(of("class[0].aim"), ("\"600ms\"".into(), "node.toml:8:1".into()));
+    assert_eq!(of("limits.memory"), ("\"192MiB\"".into(), "default".into()));
+    for (variable, flag, place) in [
+        (
+            Some("STONEFOLD_LIMITS__SOCKTS"),
+            None,
+            "environment STONEFOLD_LIMITS__SOCKTS: limits.sockts: unknown key",
+        ),
+        (None, Some("limits.sockets=many"), "flag --set limits.sockets=many: limits.sockets"),
+        (None, Some("limits"), "expected key=value"),
+        (None, Some("node.listen.more=1"), "holds no further keys"),
+    ] {
+        let mut layers = Layers { file: layers.file.clone(), ..Layers::default() };
+        layers.environment.extend(variable.map(|name| (name.to_owned(), "400".to_owned())));
+        layers.flags.extend(flag.map(str::to_owned));
+        let told = load::<Config>(&layers).err().unwrap().to_string();
+        assert!(told.contains(place), "{told}");
+    }
+}
+
+#[test]
+fn what_is_explained_reads_back_as_the_same_tree() {
+    let (_dir, layers) = layers(GOOD);
+    let tree = load::<Config>(&layers).unwrap().tree;
+    let text = toml::to_string(&tree).unwrap();
+    assert_eq!(toml::from_str::<Config>(&text).unwrap(), tree);
+}
+
+#[test]
+fn the_schema_and_the_example_in_deploy_are_in_step() {
+    let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let kept = fs::read_to_string(deploy.join("node.schema.json")).unwrap();
+    let made = serde_json::to_string_pretty(&schema()).unwrap() + "\n";
+    assert_eq!(kept, made, "make it anew: stonefold check --schema > deploy/node.schema.json");
+    let example = Layers { file: Some(deploy.join("node.toml")), ..Layers::default() };
+    let tree = load::<Config>(&example).unwrap().tree;
+    assert_eq!(tree.classes.len(), 2);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: the environment, and the JSON file that it names.
 
 use std::env::{self, VarError};
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -51,12 +52,16 @@
     Seed(String),
     Settings(SetupError),
     Sockets(usize),
+    /// A document of another source.
+    Document(DocumentError),
     /// A key that the file in force has, and the new one lacks.
     Lacks(String),
     /// The node is on its way to its end.
     Ending,
 }
 
+impl Error for ConfigError {}
+
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -66,6 +71,7 @@
             ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
             ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
             ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
+            ConfigError::Document(error) => write!(f, "{error}"),
             ConfigError::Lacks(key) => write!(f, "the key {key} is missing"),
             ConfigError::Ending => write!(f, "the node ends"),
             ConfigError::Sockets(n) => {
@@ -94,12 +100,77 @@
     memory_mb: Option<usize>,
 }
 
+/// Why another source has no document to give.
+pub type DocumentError = Box<dyn Error + Send + Sync>;
+
+/// Another source of the platform's document: read at the start, and at each SIGHUP.
+pub trait Document: Send {
+    /// The document as it stands now.
+    ///
+    /// # Errors
+    /// If it can't be read, or not be used; the node then stays as it is.
+    fn read(&self) -> Result<Value, DocumentError>;
+}
+
+/// Where the configuration is read.
+#[derive(Default)]
+pub enum Source {
+    /// The file that `EDGE_CONFIG` names; `EDGE_LISTEN`, `EDGE_DISCOVERY` and `EDGE_OPERATOR` go before what it says.
+    #[default]
+    Platform,
+    /// Another one, which has the last word on everything.
+    Document(Box<dyn Document>),
+}
+
+impl Source {
+    fn read(&self) -> Result<(File, Value), ConfigError> {
+        let (path, value) = match self {
+            Source::Platform => {
+                let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
+                read_json(path)?
+            }
+            Source::Document(document) => {
+                (String::from("document"), document.read().map_err(ConfigError::Document)?)
+            }
+        };
+        File::checked(path, value)
+    }
+
+    fn address(&self, name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
+        self.given(name, in_file)?.ok_or(ConfigError::Missing(name))
+    }
+
+    /// An address from the environment, where that is the platform's, or else from the file.
+    fn given(&self, name: &'static str, in_file: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
+        let text = match self {
+            Source::Platform => variable(name)?.or(in_file),
+            Source::Document(_) => in_file,
+        };
+        text.map(|text| parse(name, text)).transpose()
+    }
+}
+
+fn read_json(path: String) -> Result<(String, Value), ConfigError> {
+    let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+    match serde_json::from_str(&text) {
+        Ok(value) => Ok((path, value)),
+        Err(error) => Err(ConfigError::Malformed(path, error)),
+    }
+}
+
+/// Checks a file in the platform's form, as a node would at its start.
+///
+/// # Errors
+/// What a node would say of it.
+pub fn check_file(path: &str) -> Result<(), ConfigError> {
+    let (path, value) = read_json(path.to_owned())?;
+    let (file, _) = File::checked(path, value)?;
+    u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
+    Setup::try_from(file.settings).map(drop).map_err(ConfigError::Settings)
+}
+
 impl File {
-    fn read() -> Result<(File, Value), ConfigError> {
-        let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
-        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        let value: Value =
-            serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path.clone(), e))?;
+    fn checked(path: String, value: Value) -> Result<(File, Value), ConfigError> {
         let file: File = File::deserialize(&value).map_err(|e| ConfigError::Malformed(path, e))?;
         file.settings.check().map_err(ConfigError::Settings)?;
         Ok((file, value))
@@ -124,48 +195,60 @@
     pub settings: Stated,
 }
 
+/// A document that was read and is not yet in force.
+pub struct Taken(Value);
+
 /// The configuration file, as it was last taken.
 #[derive(Default)]
 pub struct Followed {
+    source: Source,
     value: Value,
 }
 
 impl Followed {
     /// Reads and checks the file anew; nothing follows from it yet. What the file
     /// says of discovery goes before the environment, which is as old as the process.
-    pub fn read(&self) -> Result<(Reload, Followed), ConfigError> {
-        let (file, value) = File::read()?;
+    pub fn read(&self) -> Result<(Reload, Taken), ConfigError> {
+        let (file, value) = self.source.read()?;
         if let Some(key) = lacking(&self.value, &value) {
             return Err(ConfigError::Lacks(key));
         }
         let discovery = match file.discovery {
             Some(text) => parse("discovery", text)?,
-            None => address("EDGE_DISCOVERY", None)?,
+            None => self.source.address("EDGE_DISCOVERY", None)?,
         };
-        Ok((Reload { discovery, settings: file.settings }, Followed { value }))
+        Ok((Reload { discovery, settings: file.settings }, Taken(value)))
+    }
+
+    /// What was read is now in force.
+    pub fn follow(&mut self, taken: Taken) {
+        self.value = taken.0;
     }
 }
 
 impl Config {
-    /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
-    pub fn from_env() -> Result<Config, ConfigError> {
-        let (file, value) = File::read()?;
+    /// Reads and checks what a source states.
+    ///
+    /// # Errors
+    /// If it can't be read, lacks something or states what can't be used.
+    pub fn from_source(source: Source) -> Result<Config, ConfigError> {
+        let (file, value) = source.read()?;
         let processes = if handover::is_passed() { 2 } else { 1 };
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 2 * RESERVED * processes {
             return Err(ConfigError::Sockets(sockets));
         }
         Ok(Config {
-            listen: address("EDGE_LISTEN", file.listen)?,
-            discovery: address("EDGE_DISCOVERY", file.discovery)?,
-            operator: given("EDGE_OPERATOR", file.operator)?,
+            listen: source.address("EDGE_LISTEN", file.listen)?,
+            discovery: source.address("EDGE_DISCOVERY", file.discovery)?,
+            operator: source.given("EDGE_OPERATOR", file.operator)?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             processes,
             sockets,
             memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20) / processes,
             known: file.known,
-            file: Followed { value },
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
+            file: Followed { source, value },
         })
     }
 
@@ -199,15 +282,6 @@
     }
 }
 
-fn address(name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
-    given(name, in_file)?.ok_or(ConfigError::Missing(name))
-}
-
-/// An address from the environment, or else from the file.
-fn given(name: &'static str, in_file: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
-    variable(name)?.or(in_file).map(|text| parse(name, text)).transpose()
-}
-
 fn parse(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Address(name, text))
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -57,7 +57,7 @@
         let told = self.control.send(Control::Reload(Box::new(new.settings), sender)).await;
         told.map_err(|_| ConfigError::Ending)?;
         let terms = answer.await.map_err(|_| ConfigError::Ending)?.map_err(ConfigError::Settings)?;
-        self.file = file;
+        self.file.follow(file);
         terms.classes.iter().for_each(|class| _ = self.metrics.class(class));
         self.new_terms.send_modify(|now| {
             now.classes.extend(terms.classes.iter().cloned());
