--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,4 +18,4 @@
 pub use layers::{Layers, Origin};
 pub use load::{Explained, Loaded, load, schema, schema_of};
 pub use tree::*;
-pub use units::{Count, Millis, Part, Positive, Size};
+pub use units::{Count, Fine, Millis, Part, Positive, Size};
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -297,9 +297,3 @@
     #[serde(default = "worth")]
     pub weight: Positive,
 }
-
-impl<const MIN: u64, const MAX: u64> Default for Count<MIN, MAX> {
-    fn default() -> Self {
-        Count::new(MIN)
-    }
-}
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -12,6 +12,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Millis<const MIN: u64, const MAX: u64>(u64);
 
+/// A duration of `MIN` to `MAX` microseconds, written with its unit: `200us`, `12ms 500us`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fine<const MIN: u64, const MAX: u64>(u64);
+
 /// A size of `MIN` to `MAX` bytes, written with its unit: `64KiB`, `192MiB`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Size<const MIN: u64, const MAX: u64>(u64);
@@ -32,6 +36,10 @@
     humantime::format_duration(Duration::from_millis(ms)).to_string()
 }
 
+fn fine(us: u64) -> String {
+    humantime::format_duration(Duration::from_micros(us)).to_string()
+}
+
 /// With the largest binary unit that leaves no rest, so that it is read back as it was.
 fn bytes(n: u64) -> String {
     let units = [("TiB", 40), ("GiB", 30), ("MiB", 20), ("KiB", 10)];
@@ -65,6 +73,26 @@
     }
 }
 
+impl<const MIN: u64, const MAX: u64> Fine<MIN, MAX> {
+    /// So many microseconds, cut to the range.
+    pub const fn new(us: u64) -> Self {
+        Fine(if us < MIN {
+            MIN
+        } else if us > MAX {
+            MAX
+        } else {
+            us
+        })
+    }
+    /// In microseconds.
+    pub const fn us(self) -> u64 {
+        self.0
+    }
+    fn range() -> String {
+        format!("a duration of {} to {}, with its unit, such as \"250us\"", fine(MIN), fine(MAX))
+    }
+}
+
 impl<const MIN: u64, const MAX: u64> Size<MIN, MAX> {
     /// So many bytes, cut to the range.
     pub const fn new(bytes: u64) -> Self {
@@ -129,6 +157,25 @@
     }
 }
 
+/// The least of the range.
+macro_rules! least {
+    ($($name:ident)*) => { $(
+        impl<const MIN: u64, const MAX: u64> Default for $name<MIN, MAX> {
+            fn default() -> Self {
+                Self::new(MIN)
+            }
+        }
+    )* };
+}
+
+least!(Millis Fine Size Count);
+
+impl Default for Part {
+    fn default() -> Part {
+        Part::new(0.0)
+    }
+}
+
 /// Reads a text, or says what would be allowed.
 struct Text<F>(String, F);
 
@@ -180,6 +227,15 @@
     }
 }
 
+impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Fine<MIN, MAX> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_str(Text(Self::range(), |text: &str| {
+            let us = u64::try_from(humantime::parse_duration(text).ok()?.as_micros()).ok()?;
+            (MIN..=MAX).contains(&us).then_some(Fine(us))
+        }))
+    }
+}
+
 impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Size<MIN, MAX> {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         from.deserialize_str(Text(Self::range(), |text: &str| {
@@ -217,6 +273,12 @@
     }
 }
 
+impl<const MIN: u64, const MAX: u64> Serialize for Fine<MIN, MAX> {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&fine(self.0))
+    }
+}
+
 impl<const MIN: u64, const MAX: u64> Serialize for Size<MIN, MAX> {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         to.serialize_str(&bytes(self.0))
@@ -259,6 +321,7 @@
 }
 
 schema!([const MIN: u64, const MAX: u64] Millis<MIN, MAX>, json_schema!({"type": "string", "description": Self::range()}));
+schema!([const MIN: u64, const MAX: u64] Fine<MIN, MAX>, json_schema!({"type": "string", "description": Self::range()}));
 schema!([const MIN: u64, const MAX: u64] Size<MIN, MAX>, json_schema!({"type": "string", "description": Self::range()}));
 schema!([const MIN: u64, const MAX: u64] Count<MIN, MAX>, json_schema!({"type": "integer", "minimum": MIN, "maximum": MAX}));
 schema!([] Part, json_schema!({"type": "number", "minimum": 0, "maximum": 1}));
