Name the type of the judge's test cases

Cause: clippy's lints on complex types and on drain failed in the model's tests.

Change: a type alias, and mem::take.

--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -141,7 +141,8 @@
         judge.verdict()
     };
     let late = 1_000 * MS + rules.answer_slack.us() + 1;
-    let cases: [(&str, &dyn Fn(&mut Judge), fn(&Verdict) -> u64); 7] = [
+    type Case<'a> = (&'a str, &'a dyn Fn(&mut Judge), fn(&Verdict) -> u64);
+    let cases: [Case; 7] = [
         (
             "lost",
             &|j| {
@@ -267,7 +268,7 @@
             writeln!(text, "{one:?} {id:?}").unwrap();
             caches[server].keep(ask.at, &ask.key.to_string(), 1000);
         }
-        writeln!(text, "{:?}", fetched.drain(..).collect::<Vec<_>>()).unwrap();
+        writeln!(text, "{:?}", std::mem::take(&mut fetched)).unwrap();
     }
     text
 }
