Play a whole site on loopback, with faults, a load and a judge; and a demo in one command

Need: nobody could run stonefold without a site around it, see it work or break it on purpose.

Change: crates/emulator puts the model behind real sockets as the protocol has it, each node with addresses of its own; 15 kinds of fault on a schedule or by POST /faults; a judge at GET /verdict; an open-loop load whose latency counts from the intended start. 'stonefold emulate SITE' and 'stonefold demo', which starts nodes as processes and replaces all caches half way.

Each rule is broken on purpose in a test and the judge sees it; each fault is seen from a node's side.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -26,6 +26,10 @@
     Node(NodeArgs),
     /// Check a configuration file, as a node would before it acts on it.
     Check(CheckArgs),
+    /// Play a whole site on loopback: caches, origin, discovery, faults, and a judge of what nodes do.
+    Emulate(EmulateArgs),
+    /// Show all of it at work: a site, nodes, a load, a rolling restart half way.
+    Demo(DemoArgs),
     /// Read one key through a node.
     Get(GetArgs),
     /// Write one key through a node.
@@ -109,6 +113,72 @@
     Json,
 }
 
+const EMULATE_HELP: &str = "\
+The control answers GET /verdict, GET /servers and POST /faults, the body of which is a fault as in the site's file:
+  curl -d '{\"kind\":\"kill\",\"server\":\"c-3\",\"for\":\"2s\"}' http://ADDRESS/faults
+Exit code 1 also means that a rule was broken.
+
+Examples:
+  stonefold emulate deploy/sites/twelve.toml --configs /tmp/nodes
+  stonefold emulate deploy/sites/twelve.toml --duration 1m --format json";
+
+#[derive(clap::Args)]
+#[command(after_help = EMULATE_HELP)]
+pub struct EmulateArgs {
+    /// The site; see deploy/sites.
+    pub site: PathBuf,
+    /// Where the control answers: a loopback address, port 0 for any.
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    /// Write a configuration for each node into this folder.
+    #[arg(long, value_name = "FOLDER")]
+    pub configs: Option<PathBuf>,
+    /// End after so long; else on Ctrl-C.
+    #[arg(long, value_name = "TIME", value_parser = humantime::parse_duration)]
+    pub duration: Option<Duration>,
+    /// Leave out the site's faults.
+    #[arg(long)]
+    pub no_faults: bool,
+    /// Threads that serve.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=256))]
+    pub threads: u16,
+    /// A value that goes before the site's.
+    #[arg(long, value_name = "KEY=VALUE")]
+    pub set: Vec<String>,
+    /// What is logged.
+    #[arg(long, value_name = "LEVELS", default_value = "info")]
+    pub log: Levels,
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+#[derive(clap::Args)]
+#[command(
+    after_help = "Examples:\n  stonefold demo\n  stonefold demo --duration 1m --nodes 8 --caches 24\n  stonefold demo --duration 10s --keep"
+)]
+pub struct DemoArgs {
+    /// How long the load lasts.
+    #[arg(long, value_name = "TIME", default_value = "20s", value_parser = humantime::parse_duration)]
+    pub duration: Duration,
+    /// Nodes.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+    pub nodes: u16,
+    /// Cache servers.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=512))]
+    pub caches: u16,
+    /// Requests a second; the site's own if it is absent.
+    #[arg(long)]
+    pub rate: Option<f64>,
+    /// Seeds every random choice of the site and its clients.
+    #[arg(long, default_value_t = 7)]
+    pub seed: u32,
+    /// Stay up afterwards, and print addresses and lines to try.
+    #[arg(long)]
+    pub keep: bool,
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
 /// What get and set have in common.
 #[derive(clap::Args)]
 pub struct RequestArgs {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod call;
 pub mod check;
+pub mod demo;
+pub mod emulate;
 pub mod node;
 pub mod request;
 pub mod texts;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -15,6 +15,8 @@
     let done = match Args::parse().command {
         Command::Node(args) => commands::node::run(args),
         Command::Check(args) => commands::check::run(args),
+        Command::Emulate(args) => commands::emulate::run(args),
+        Command::Demo(args) => commands::demo::run(args),
         Command::Get(args) => commands::request::get(args),
         Command::Set(args) => commands::request::set(args),
         Command::Call(args) => commands::call::run(args),
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -187,3 +187,36 @@
     let (code, _, err) = told(&stonefold(&["call", &at, "DISABLE", "nobody"]));
     assert!(code == 1 && err.contains("no server nobody"), "{err}");
 }
+
+#[test]
+fn the_demo_serves_through_a_rolling_restart_and_leaves_nothing_behind() {
+    let args =
+        ["demo", "--duration", "3s", "--nodes", "2", "--caches", "4", "--rate", "100", "--format", "json"];
+    let (code, out, err) = told(&stonefold(&args));
+    let end: serde_json::Value =
+        serde_json::from_str(out.trim()).unwrap_or_else(|e| panic!("{e}: {out} {err}"));
+    assert_eq!((code, &end["rules_broken"]), (0, &serde_json::json!(0)), "{end} {err}");
+    let of = |name: &str| end[name].as_f64().unwrap_or_else(|| panic!("{name} in {end}"));
+    assert!(
+        of("served") > 0.0 && of("p50_ms") > 0.0 && of("p99_ms") >= of("p50_ms") && of("origin_rps") > 0.0
+    );
+    assert_eq!(of("requests"), of("served") + of("refused") + of("failed"));
+}
+
+#[test]
+fn a_site_is_emulated_for_as_long_as_asked_and_a_bad_one_is_refused() {
+    let site = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sites/twelve.toml");
+    let dir = tempfile::tempdir().unwrap();
+    let configs = dir.path().to_str().unwrap();
+    let (code, out, err) =
+        told(&stonefold(&["emulate", site, "--duration", "1ms", "--configs", configs, "--format", "json"]));
+    assert!(code == 0 && out.contains(r#""rules_broken":0"#), "{out} {err}");
+    let config = dir.path().join("node-3.toml");
+    assert_eq!(told(&stonefold(&["check", config.to_str().unwrap()])).0, 0);
+    let (code, _, err) = told(&stonefold(&["emulate", site, "--set", "rate=0"]));
+    assert!(code == 2 && err.contains("flag --set rate=0: rate:"), "{err}");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = taken.local_addr().unwrap().to_string();
+    let (code, _, err) = told(&stonefold(&["emulate", site, "--control", &at]));
+    assert!(code == 1 && err.contains(&format!("cannot listen at {at}")), "{err}");
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,21 @@
+//! A whole site in one process: the model's servers behind real sockets on loopback, faults on a schedule and on
+//! demand, a load, and a judge of what the nodes do.
+//!
+//! Each node reaches every server at an address of its own, so that the emulator knows who asks, how far away it
+//! stands, and what it was told. See `docs/design/emulator.md`.
+#![warn(missing_docs)]
+
+mod cache;
+mod config;
+mod control;
+mod discovery;
+mod faults;
+mod http;
+mod load;
+mod origin;
+mod port;
+mod request;
+mod world;
+
+pub use load::{Figures, Load, Summary};
+pub use world::{Emulator, EmulatorError, Options};
--- /dev/null
+++ b/crates/emulator/src/load.rs
@@ -0,0 +1,256 @@
+//! A load: the model's clients over real connections, open loop. Latency counts from the intended start.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use hdrhistogram::Histogram;
+use redis_protocol::resp2::types::BytesFrame;
+use serde::Serialize;
+use stonefold_config::Effect;
+use stonefold_model::{Answer, Ask, Clients, Micros};
+use stonefold_proto::resp::next_frame;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::{sleep_until, timeout};
+use tokio_util::task::TaskTracker;
+
+use crate::request::{self, is_for};
+use crate::world::{Emulator, World, locked};
+
+/// Requests out at once; beyond that the load says that it was the bottleneck.
+const MOST_OUT: usize = 20_000;
+/// The longest answer.
+const LARGEST: usize = (4 << 20) + 1024;
+/// A client waits so much longer than it said before it leaves.
+const LATE: Micros = 500_000;
+/// Latencies are kept up to a minute, to three digits.
+const LONGEST: u64 = 60_000_000;
+
+/// What came of the requests of a stretch of time.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// By how they ended.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed, wrong answers and broken connections among them.
+    pub failed: u64,
+    /// Not sent, since too many were out.
+    pub not_sent: u64,
+    /// Of those served: from the intended start to the last byte, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        // These bounds are valid: 1 to a minute, three digits.
+        let latency = Histogram::new_with_bounds(1, LONGEST, 3).expect("valid bounds");
+        Figures { served: 0, refused: 0, failed: 0, not_sent: 0, latency }
+    }
+}
+
+/// Figures as numbers.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Summary {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Not sent, since too many were out: the load was the bottleneck.
+    pub not_sent: u64,
+    /// Half of those served took no longer, in milliseconds.
+    pub p50_ms: f64,
+    /// Of a hundred of those served 99 took no longer, in milliseconds.
+    pub p99_ms: f64,
+    /// The slowest of those served, in milliseconds.
+    pub max_ms: f64,
+}
+
+impl Figures {
+    /// As numbers.
+    pub fn summary(&self) -> Summary {
+        let at = |quantile: f64| self.latency.value_at_quantile(quantile) as f64 / 1e3;
+        Summary {
+            requests: self.served + self.refused + self.failed,
+            served: self.served,
+            refused: self.refused,
+            failed: self.failed,
+            not_sent: self.not_sent,
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+            max_ms: self.latency.max() as f64 / 1e3,
+        }
+    }
+
+    fn add(&mut self, answer: Answer, took: Micros) {
+        match answer {
+            Answer::Served => {
+                self.served += 1;
+                self.latency.saturating_record(took.max(1));
+            }
+            Answer::Refused => self.refused += 1,
+            Answer::Failed | Answer::Wrong => self.failed += 1,
+        }
+    }
+}
+
+/// A load on some nodes.
+pub struct Load {
+    world: Arc<World>,
+    nodes: Vec<SocketAddr>,
+    /// Idle connections to each node, the most recently used last.
+    idle: Vec<Mutex<VecDeque<TcpStream>>>,
+    figures: Mutex<(Figures, Figures)>,
+    out: Semaphore,
+}
+
+impl Load {
+    /// A load on these nodes, from the clients of an emulator's site.
+    pub fn new(emulator: &Emulator, nodes: Vec<SocketAddr>) -> Arc<Load> {
+        let idle = nodes.iter().map(|_| Mutex::default()).collect();
+        let (world, figures) = (emulator.world.clone(), Mutex::default());
+        Arc::new(Load { world, nodes, idle, figures, out: Semaphore::new(MOST_OUT) })
+    }
+
+    /// The figures from the start, and those since this was last asked.
+    pub fn figures(&self) -> (Figures, Figures) {
+        let mut figures = locked(&self.figures);
+        let latest = std::mem::take(&mut figures.1);
+        (figures.0.clone(), latest)
+    }
+
+    /// Sends this many requests a second for so long, and waits for their ends.
+    pub async fn run(self: Arc<Self>, rate: f64, lasts: Duration) {
+        let seed = self.world.site.seed.get() as u64;
+        let mut clients = Clients::new(&self.world.site, rate, seed);
+        let (start, lasts) = (self.world.now(), lasts.as_micros() as Micros);
+        let tracker = TaskTracker::new();
+        loop {
+            let ask = clients.next_ask();
+            if ask.at >= lasts {
+                break;
+            }
+            tokio::select! {
+                () = self.world.stop.cancelled() => return,
+                () = sleep_until(self.world.instant(start + ask.at)) => {}
+            }
+            if self.out.available_permits() == 0 {
+                locked(&self.figures).0.not_sent += 1;
+                continue;
+            }
+            let load = self.clone();
+            tracker.spawn(async move {
+                // The semaphore is never closed.
+                if let Ok(_out) = load.out.acquire().await {
+                    load.ask(&ask, start + ask.at).await;
+                }
+            });
+        }
+        tracker.close();
+        tracker.wait().await;
+        self.world.judge().close(self.world.now());
+    }
+
+    async fn ask(&self, ask: &Ask, at: Micros) {
+        // Nodes are dealt over the zones in turn; a zone's clients go to its nodes.
+        let zones = self.world.site.network.zones.len().max(1);
+        let there: Vec<usize> =
+            (0..self.nodes.len()).filter(|node| node % zones == ask.zone % zones).collect();
+        let node = match there.is_empty() {
+            true => ask.number as usize % self.nodes.len(),
+            false => there[ask.number as usize % there.len()],
+        };
+        let answer = self.exchange(ask, node, at).await;
+        let now = self.world.now();
+        let mut figures = locked(&self.figures);
+        let took = now.saturating_sub(at);
+        figures.0.add(answer, took);
+        figures.1.add(answer, took);
+    }
+
+    /// One request on one connection; the judge is told of it once it has been sent whole.
+    async fn exchange(&self, ask: &Ask, node: usize, at: Micros) -> Answer {
+        let id = format!("{:016x}", ask.number);
+        let key = request::key(ask.key);
+        let command = self.command(ask, &id, &key);
+        let kept = locked(&self.idle[node]).pop_back();
+        let connected = match kept {
+            Some(stream) => Ok(stream),
+            None => TcpStream::connect(self.nodes[node]).await,
+        };
+        let Ok(mut stream) = connected else { return Answer::Failed };
+        let _ = stream.set_nodelay(true); // slower without, no worse
+        if stream.write_all(&command).await.is_err() {
+            return Answer::Failed;
+        }
+        self.world.judge().asked(ask.number, at + ask.deadline);
+        let wait = Duration::from_micros((at + ask.deadline + LATE).saturating_sub(self.world.now()));
+        match timeout(wait, read(&mut stream)).await {
+            Ok(Ok(frame)) => {
+                locked(&self.idle[node]).push_back(stream);
+                let answer = judged(&frame, &id, &key);
+                self.world.judge().answered(self.world.now(), ask.number, answer);
+                answer
+            }
+            // The node has died, or closed a kept connection: its client would ask again.
+            Ok(Err(_)) => {
+                self.world.judge().excused(ask.number);
+                Answer::Failed
+            }
+            Err(_) => {
+                self.world.judge().close(self.world.now());
+                Answer::Failed
+            }
+        }
+    }
+
+    fn command(&self, ask: &Ask, id: &str, key: &str) -> BytesMut {
+        let class = &self.world.site.classes[ask.class];
+        let mut facts = format!("c={},d={}", class.name, ask.deadline / 1000);
+        if let Some(tenant) = ask.tenant.and_then(|tenant| self.world.site.tenants.get(tenant)) {
+            facts += &format!(",t={}", tenant.name);
+        }
+        if class.effect == Effect::Keyed {
+            facts += &format!(",k={id}");
+        }
+        let value = class.write.then(|| "a".repeat(64));
+        let name = if class.write { "CACHE.SET" } else { "CACHE.GET" };
+        let words: Vec<&str> = [name, key, id, &facts].into_iter().chain(value.as_deref()).collect();
+        let mut text = BytesMut::from(format!("*{}\r\n", words.len()).as_bytes());
+        for word in words {
+            text.extend_from_slice(format!("${}\r\n{word}\r\n", word.len()).as_bytes());
+        }
+        text
+    }
+}
+
+fn judged(frame: &BytesFrame, id: &str, key: &str) -> Answer {
+    match frame {
+        BytesFrame::BulkString(value) if is_for(value, id.as_bytes(), key) => Answer::Served,
+        BytesFrame::BulkString(_) => Answer::Wrong,
+        BytesFrame::Error(text) if text.starts_with("BUSY") => Answer::Refused,
+        _ => Answer::Failed,
+    }
+}
+
+async fn read(stream: &mut TcpStream) -> io::Result<BytesFrame> {
+    let mut buffer = BytesMut::new();
+    loop {
+        let frame = next_frame(&mut buffer, LARGEST).map_err(|_| io::ErrorKind::InvalidData)?;
+        if let Some(frame) = frame {
+            return Ok(frame);
+        }
+        if stream.read_buf(&mut buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/port.rs
@@ -0,0 +1,102 @@
+//! Listeners, one for each node, that can be closed and opened again at the same addresses.
+
+use std::future::Future;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tracing::warn;
+
+use crate::world::{EmulatorError, addr_of, listen, locked};
+
+/// After an accept that failed, for want of descriptors say.
+const PAUSE: Duration = Duration::from_millis(20);
+/// How often an address that is not free again yet is tried.
+const AGAIN: Duration = Duration::from_millis(5);
+
+/// One listener for each node.
+pub(crate) struct Listeners {
+    addrs: Vec<SocketAddr>,
+    /// Open, and not yet served.
+    fresh: Mutex<Vec<TcpListener>>,
+    /// Ends all that was accepted so far, and the listening.
+    run: Mutex<CancellationToken>,
+}
+
+impl Listeners {
+    pub async fn open(ip: IpAddr, nodes: usize) -> Result<Listeners, EmulatorError> {
+        let mut fresh = Vec::with_capacity(nodes);
+        for _ in 0..nodes {
+            fresh.push(listen(SocketAddr::new(ip, 0)).await?);
+        }
+        let addrs = fresh.iter().map(addr_of).collect();
+        Ok(Listeners { addrs, fresh: Mutex::new(fresh), run: Mutex::default() })
+    }
+
+    pub fn addr(&self, node: usize) -> Option<SocketAddr> {
+        self.addrs.get(node).copied()
+    }
+
+    /// Accepts until the port is closed or `stop`; each connection gets a token that ends it.
+    pub fn serve<F, Fut>(&self, stop: &CancellationToken, each: F)
+    where
+        F: Fn(usize, TcpStream, CancellationToken) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let run = stop.child_token();
+        *locked(&self.run) = run.clone();
+        for (node, listener) in locked(&self.fresh).drain(..).enumerate() {
+            let (run, each) = (run.clone(), each.clone());
+            tokio::spawn(async move {
+                loop {
+                    let accepted = tokio::select! {
+                        () = run.cancelled() => return,
+                        accepted = listener.accept() => accepted,
+                    };
+                    match accepted {
+                        Ok((stream, _)) => {
+                            let _ = stream.set_nodelay(true); // slower without, no worse
+                            tokio::spawn(each(node, stream, run.child_token()));
+                        }
+                        Err(error) => {
+                            warn!(event = "accept_failed", front = "emulator", %error, "a connection is not taken");
+                            tokio::time::sleep(PAUSE).await;
+                        }
+                    }
+                }
+            });
+        }
+    }
+
+    /// Closes the listeners and resets their connections.
+    pub fn close(&self) {
+        locked(&self.run).cancel();
+    }
+
+    /// Opens the listeners again, at the same addresses.
+    pub async fn reopen(&self, stop: &CancellationToken) {
+        let mut fresh = Vec::with_capacity(self.addrs.len());
+        for &at in &self.addrs {
+            // The old listener is closed by its own task, a moment after it was told.
+            let listener = loop {
+                match TcpListener::bind(at).await {
+                    Ok(listener) => break listener,
+                    Err(_) if stop.is_cancelled() => return,
+                    Err(_) => tokio::time::sleep(AGAIN).await,
+                }
+            };
+            fresh.push(listener);
+        }
+        *locked(&self.fresh) = fresh;
+    }
+}
+
+/// Closes a connection so that the peer sees a reset, not an end.
+pub(crate) fn reset(stream: TcpStream) {
+    // Where the option can't be set the peer sees an end instead, which is a break too.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    drop(stream);
+}
--- a/crates/model/src/cache.rs
+++ b/crates/model/src/cache.rs
@@ -102,6 +102,8 @@
     /// When it started cold; nothing is long ago.
     started: Option<Micros>,
     down: bool,
+    /// It has fallen over, and nobody has asked yet.
+    fell: bool,
     /// How much slower than usual it is made, 1 being not at all; 0 stops it.
     factor: f64,
     /// Until when it pauses, and when the next pause begins.
@@ -153,6 +155,7 @@
             random,
             started: None,
             down: false,
+            fell: false,
             factor: 1.0,
             paused_until: 0,
             next_pause: Micros::MAX,
@@ -207,6 +210,11 @@
         self.down
     }
 
+    /// Whether it has fallen over since this was last asked.
+    pub fn has_fallen(&mut self) -> bool {
+        std::mem::take(&mut self.fell)
+    }
+
     /// When it last started cold.
     pub fn started(&self) -> Option<Micros> {
         self.started
@@ -283,7 +291,7 @@
         let sent = self.pressure.add(now, cost);
         let bearable = self.rules.overload_factor.get() * self.capacity(now) * span;
         if self.is_cold(now) && sent > bearable {
-            self.down = true;
+            (self.down, self.fell) = (true, true);
         }
     }
 
@@ -414,6 +422,12 @@
         }
     }
 
+    /// It has held a value since before the start, and will for some part of its time.
+    pub fn hold(&mut self, now: Micros, key: &str, size: u64) {
+        let left = self.kind.keeps_for.us() as f64 * self.random.unit();
+        self.store.put(key, size, now.saturating_add(left as Micros));
+    }
+
     /// A write to a key voids the copy.
     pub fn void(&mut self, key: &str) {
         self.store.drop(key);
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -225,6 +225,8 @@
     pub count: Count<1, 100_000_000>,
     /// The exponent of their popularity.
     pub zipf: Positive,
+    /// The most popular part of them, which every cache server holds at the start.
+    pub held: Part,
     /// Ranks by which popularity moves on in a second.
     pub moves_per_s: Rate,
     /// The mean size of a value.
@@ -267,6 +269,7 @@
         Keys {
             count: Count::new(20_000),
             zipf: Positive::new(0.9),
+            held: Part::new(0.0),
             moves_per_s: Rate(0.0),
             value: Size::new(2 << 10),
             value_sigma: Part::new(0.5),
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -306,7 +306,7 @@
         (good.replacen("share = 0.95", "share = 0.5", 1), "class", "add up to 0.550"),
         (good.replacen("[\"8ms\", \"15ms\"]", "[\"15ms\", \"8ms\"]", 1), "network.cross_zone", "not be less"),
         (good.replacen("window = \"5s\"", "", 1), "class[1].window", "above 0s"),
-        (good.replacen("moves_per_s = 20", "moves_per_s = -1", 1), "keys.moves_per_s", "0 to 1000000"),
+        (good.replacen("moves_per_s = 0.5", "moves_per_s = -1", 1), "keys.moves_per_s", "0 to 1000000"),
         (fault("kind = \"kill\"\nserver = \"c-12\""), "fault[0].server", "c-0 to c-11"),
         (fault("kind = \"kill\""), "fault[0].kind", "needs server, part or zone"),
         (fault("kind = \"slow\"\nserver = \"c-1\""), "fault[0].factor", "how many times slower"),
