--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -302,7 +302,7 @@
     let fault = |text: &str| format!("{good}\n[[fault]]\n{text}");
     let cases = [
         (good.replacen("count = 7", "count = 0", 1), "cache[0].count", "1 to 100000"),
-        (good.replacen("\"6MiB\"", "\"-6MiB\"", 1), "cache[0].memory", "a size of"),
+        (good.replacen("\"8MiB\"", "\"-8MiB\"", 1), "cache[0].memory", "a size of"),
         (good.replacen("share = 0.95", "share = 0.5", 1), "class", "add up to 0.550"),
         (good.replacen("[\"8ms\", \"15ms\"]", "[\"15ms\", \"8ms\"]", 1), "network.cross_zone", "not be less"),
         (good.replacen("window = \"5s\"", "", 1), "class[1].window", "above 0s"),
