Spread a key over two caches, and prefer the first among equals

Three candidates a key mean up to three fetches and three copies of it, which take the room of others.

--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -19,9 +19,9 @@
 mod places;
 
 /// Caches in a key's candidate set.
-const SET: usize = 3;
+const SET: usize = 2;
 /// Requests in flight that one rank is worth: below 1, to break ties only.
-const AFFINITY: f64 = 0.6;
+const AFFINITY: f64 = 0.95;
 /// A cache this many times slower than its fellows has no idle room.
 const SLOW: f64 = 3.0;
 /// Copies and further tries that one request earns, and most that are saved up.
