--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -220,3 +220,55 @@
     let (code, _, err) = told(&stonefold(&["emulate", site, "--control", &at]));
     assert!(code == 1 && err.contains(&format!("cannot listen at {at}")), "{err}");
 }
+
+/// A port that is free now.
+fn free_port() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn a_full_disk_under_the_log_is_nobodys_trouble() {
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let dir = tempfile::tempdir().unwrap();
+    let (file, at) = (dir.path().join("node.toml"), free_port());
+    std::fs::write(&file, own_file(cache.addr, origin.addr, discovery.addr)).unwrap();
+    let listen = format!("node.listen={at}");
+    let mut node = program(r#"exec "$0" node --config "$FILE" --set "$LISTEN" --log debug 2>/dev/full"#)
+        .env("FILE", &file)
+        .env("LISTEN", listen)
+        .spawn()
+        .unwrap();
+    while std::net::TcpStream::connect(at).is_err() {
+        assert!(node.try_wait().unwrap().is_none(), "it ended");
+    }
+    let at = at.to_string();
+    let (code, _, err) = told(&stonefold(&["get", "k", "--class", "other", "--node", &at]));
+    assert!(code == 1 && err.contains("unknown class"), "{err}");
+    assert!(Command::new("kill").arg(node.id().to_string()).status().unwrap().success());
+    assert!(node.wait().unwrap().success());
+}
+
+#[test]
+fn a_node_outlives_the_emulator_under_it() {
+    let site = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sites/twelve.toml");
+    let dir = tempfile::tempdir().unwrap();
+    let configs = dir.path().to_str().unwrap();
+    let mut emulator = Command::new(env!("CARGO_BIN_EXE_stonefold"))
+        .args(["emulate", site, "--configs", configs, "--format", "json", "--log", "off"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(emulator.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let node = Own::start(&dir.path().join("node-0.toml"));
+    let at = node.addr.to_string();
+    let get = || {
+        told(&stonefold(&["get", "record:1", "--node", &at, "--class", "record-lookup", "--deadline", "10s"]))
+    };
+    let (code, out, err) = get();
+    assert!(code == 0 && out.contains(":record:1:"), "{out} {err}");
+    emulator.kill().unwrap();
+    emulator.wait().unwrap();
+    let (code, out, err) = get();
+    assert!(code == 1 && out.is_empty() && (err.contains("refused") || err.contains("failed")), "{err}");
+}
--- /dev/null
+++ b/crates/emulator/tests/latency.rs
@@ -0,0 +1,75 @@
+//! An injected service time is seen as it was injected: the model's times are those on the sockets.
+
+use std::time::Duration;
+
+use stonefold_config::{Layers, load};
+use stonefold_emulator::{Emulator, Load, Options};
+use stonefold_model::site::Site;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const SITE: &str = r#"
+name = "pause"
+nodes = 1
+rate = 200
+[[cache]]
+slots = 1000
+cores = 1000
+[keys]
+count = 10
+held = 1.0
+value = "16B"
+value_sigma = 0
+[[class]]
+name = "read"
+share = 1
+work = "100ms"
+aim = "1s"
+deadline = "10s"
+effect = "safe"
+"#;
+
+/// Passes bytes on between a client and the cache, but the tail of each answer that no client is owed.
+async fn relay(mut client: TcpStream, cache: std::net::SocketAddr) {
+    let mut server = TcpStream::connect(cache).await.unwrap();
+    let (mut asked, mut answered) = (vec![0; 4096], vec![0; 4096]);
+    while let Ok(n) = client.read(&mut asked).await {
+        if n == 0 {
+            return;
+        }
+        server.write_all(&asked[..n]).await.unwrap();
+        let mut whole = Vec::new();
+        while !whole.ends_with(b"\r\n") || !String::from_utf8_lossy(&whole).contains("x1=") {
+            let n = server.read(&mut answered).await.unwrap();
+            whole.extend_from_slice(&answered[..n]);
+        }
+        let text = String::from_utf8(whole).unwrap();
+        let value =
+            text.strip_prefix("*3\r\n").and_then(|rest| rest.split("$3\r\nhit").next()).unwrap().to_owned();
+        client.write_all(value.as_bytes()).await.unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_is_sooner_than_its_work_takes_and_all_are_served() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("site.toml");
+    std::fs::write(&path, SITE).unwrap();
+    let site = load::<Site>(&Layers { file: Some(path), ..Layers::default() }).unwrap().tree;
+    let emulator = Emulator::start(site, Options::default()).await.unwrap();
+    let cache = emulator.known(0)["servers"][0]["addr"].as_str().unwrap().parse().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let node = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(relay(client, cache));
+        }
+    });
+    let load = Load::new(&emulator, vec![node]);
+    load.clone().run(200.0, Duration::from_millis(500)).await;
+    let all = load.figures().0;
+    assert!(all.served > 50 && all.refused + all.failed + all.not_sent == 0, "{:?}", all.summary());
+    // How much later they are is the machine's doing; sooner would be ours.
+    assert!(all.latency.min() >= 100_000, "{} us", all.latency.min());
+    assert_eq!(emulator.verdict().rules_broken(), 0);
+}
