Let the judge see connections that a node ends and answers too many

Runs that must not repeat were forgotten in the order of their names, not of their age.

Change: such a close is a lost request; one that crosses on a kept connection is sent again on a new one, as the protocol has it. What comes unasked, behind an answer or on an idle connection, counts as doubled. Runs are kept in an LRU.

Tests of both.

--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -177,37 +177,69 @@
         figures.1.add(answer, took);
     }
 
-    /// One request on one connection; the judge is told of it once it has been sent whole.
+    /// One request; the judge is told of it once it has been sent whole. A kept connection that the node closes
+    /// may cross a request which the node has not read: that is sent once more, on a new connection.
     async fn exchange(&self, ask: &Ask, node: usize, at: Micros) -> Answer {
         let id = format!("{:016x}", ask.number);
         let key = request::key(ask.key);
         let command = self.command(ask, &id, &key);
-        let kept = locked(&self.idle[node]).pop_back();
-        let connected = match kept {
-            Some(stream) => Ok(stream),
-            None => TcpStream::connect(self.nodes[node]).await,
-        };
-        let Ok(mut stream) = connected else { return Answer::Failed };
-        let _ = stream.set_nodelay(true); // slower without, no worse
-        if stream.write_all(&command).await.is_err() {
+        let until = at + ask.deadline;
+        if let Some(mut kept) = self.kept(node)
+            && kept.write_all(&command).await.is_ok()
+        {
+            match self.answer(&mut kept, until).await {
+                Heard::Closed => {} // before anything of an answer
+                heard => {
+                    self.world.judge().asked(ask.number, until);
+                    return self.judged(heard, ask.number, (&id, &key), node, kept);
+                }
+            }
+        }
+        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Answer::Failed };
+        let _ = fresh.set_nodelay(true); // slower without, no worse
+        if fresh.write_all(&command).await.is_err() {
             return Answer::Failed;
         }
-        self.world.judge().asked(ask.number, at + ask.deadline);
-        let wait = Duration::from_micros((at + ask.deadline + LATE).saturating_sub(self.world.now()));
-        match timeout(wait, read(&mut stream)).await {
-            Ok(Ok(frame)) => {
-                locked(&self.idle[node]).push_back(stream);
-                let answer = judged(&frame, &id, &key);
-                self.world.judge().answered(self.world.now(), ask.number, answer);
+        self.world.judge().asked(ask.number, until);
+        let heard = self.answer(&mut fresh, until).await;
+        self.judged(heard, ask.number, (&id, &key), node, fresh)
+    }
+
+    /// An idle connection on which nothing has come.
+    fn kept(&self, node: usize) -> Option<TcpStream> {
+        loop {
+            let stream = locked(&self.idle[node]).pop_back()?;
+            match stream.try_read(&mut [0; 64]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Some(stream),
+                Ok(read) if read > 0 => self.world.judge().unasked(),
+                Ok(_) | Err(_) => {} // closed between requests, as a node may
+            }
+        }
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, until: Micros) -> Heard {
+        let wait = Duration::from_micros((until + LATE).saturating_sub(self.world.now()));
+        timeout(wait, read(stream)).await.unwrap_or(Heard::Nothing)
+    }
+
+    fn judged(&self, heard: Heard, request: u64, of: (&str, &str), node: usize, stream: TcpStream) -> Answer {
+        let mut judge = self.world.judge();
+        match heard {
+            Heard::Answer { frame, more } => {
+                let answer = judged(&frame, of.0, of.1);
+                judge.answered(self.world.now(), request, answer);
+                match more {
+                    true => judge.unasked(),
+                    false => locked(&self.idle[node]).push_back(stream),
+                }
                 answer
             }
-            // The node has died, or closed a kept connection: its client would ask again.
-            Ok(Err(_)) => {
-                self.world.judge().excused(ask.number);
+            Heard::Closed | Heard::Broken => {
+                judge.abandoned(request);
                 Answer::Failed
             }
-            Err(_) => {
-                self.world.judge().close(self.world.now());
+            Heard::Nothing => {
+                judge.close(self.world.now());
                 Answer::Failed
             }
         }
@@ -242,15 +274,30 @@
     }
 }
 
-async fn read(stream: &mut TcpStream) -> io::Result<BytesFrame> {
+/// What came on a connection.
+enum Heard {
+    /// A whole answer, and whether there was more behind it.
+    Answer { frame: BytesFrame, more: bool },
+    /// Its end, before anything of an answer.
+    Closed,
+    /// Its end in the midst of an answer, or what is none.
+    Broken,
+    /// Nothing in time.
+    Nothing,
+}
+
+async fn read(stream: &mut TcpStream) -> Heard {
     let mut buffer = BytesMut::new();
     loop {
-        let frame = next_frame(&mut buffer, LARGEST).map_err(|_| io::ErrorKind::InvalidData)?;
-        if let Some(frame) = frame {
-            return Ok(frame);
+        match next_frame(&mut buffer, LARGEST) {
+            Ok(Some(frame)) => return Heard::Answer { frame, more: !buffer.is_empty() },
+            Ok(None) => {}
+            Err(_) => return Heard::Broken,
         }
-        if stream.read_buf(&mut buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+        match stream.read_buf(&mut buffer).await {
+            Ok(read) if read > 0 => {}
+            Ok(_) | Err(_) if buffer.is_empty() => return Heard::Closed,
+            Ok(_) | Err(_) => return Heard::Broken,
         }
     }
 }
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -307,7 +307,7 @@
     assert_eq!((emulator.verdict().run_twice, emulator.verdict().rules_broken()), (1, 1));
 }
 
-/// A node that answers each request with this.
+/// A node that answers each request with this; it closes instead if that is empty.
 async fn bad_node(answer: fn(&str) -> Option<String>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -318,6 +318,7 @@
                 while let Ok(n) = stream.read(&mut got).await {
                     let text = String::from_utf8_lossy(&got[..n]).into_owned();
                     match answer(&text) {
+                        Some(answer) if answer.is_empty() => return,
                         Some(answer) if n > 0 => stream.write_all(answer.as_bytes()).await.unwrap(),
                         _ if n == 0 => return,
                         _ => {}
@@ -340,10 +341,21 @@
     Load::new(&emulator, vec![silent]).run(50.0, Duration::from_millis(200)).await;
     let verdict = emulator.verdict();
     assert!(verdict.lost > 0 && verdict.lost + verdict.wrong == verdict.requests, "{verdict:?}");
+    let closing = bad_node(|_| Some(String::new())).await;
+    let before = emulator.verdict();
+    Load::new(&emulator, vec![closing]).run(100.0, Duration::from_millis(200)).await;
+    let now = emulator.verdict();
+    assert!(
+        now.requests > before.requests && now.lost - before.lost == now.requests - before.requests,
+        "{now:?}"
+    );
+    let twice = bad_node(|_| Some("-BUSY 5\r\n-BUSY 5\r\n".into())).await;
+    Load::new(&emulator, vec![twice]).run(100.0, Duration::from_millis(200)).await;
+    assert!(emulator.verdict().doubled > 0, "{:?}", emulator.verdict());
     let refusing = bad_node(|_| Some("-BUSY 5\r\n".into())).await;
     let load = Load::new(&emulator, vec![refusing]);
     load.clone().run(200.0, Duration::from_millis(200)).await;
-    assert!(load.figures().0.refused > 0 && emulator.verdict().refused == load.figures().0.refused);
+    assert!(load.figures().0.refused > 0 && emulator.verdict().refused >= load.figures().0.refused);
 }
 
 #[tokio::test]
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -1,7 +1,9 @@
 //! What a node may not do, judged from outside.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
+use std::num::NonZeroUsize;
 
+use lru::LruCache;
 use serde::Serialize;
 
 use crate::Micros;
@@ -75,20 +77,21 @@
     open: HashMap<u64, Asked>,
     /// By node and server: since when the node knows that the server wants nothing more.
     told: HashMap<(usize, usize), Micros>,
-    /// Runs at the origin of requests that must not be repeated: how often, and the first.
-    runs: BTreeMap<String, Micros>,
+    /// The latest runs at the origin of requests that must not be repeated; those longest ago are forgotten.
+    runs: LruCache<String, Micros>,
     verdict: Verdict,
 }
 
 /// The part of misses at cold servers from which a stop of the origin is theirs.
 const COLD_SHARE: f64 = 0.3;
 /// Runs that are remembered.
-const RUNS: usize = 100_000;
+const RUNS: NonZeroUsize = NonZeroUsize::new(100_000).unwrap();
 
 impl Judge {
     /// A judge by these rules.
     pub fn new(rules: &Rules) -> Judge {
-        let (open, told, runs, verdict) = Default::default();
+        let (open, told, verdict) = Default::default();
+        let runs = LruCache::new(RUNS);
         Judge { rules: rules.clone(), open, told, runs, verdict }
     }
 
@@ -113,13 +116,18 @@
         }
     }
 
-    /// The client has left, or its node was killed: nothing is owed.
-    pub fn excused(&mut self, request: u64) {
+    /// The node ended the request's connection with no whole answer, though it had taken the request.
+    pub fn abandoned(&mut self, request: u64) {
         if self.open.remove(&request).is_some() {
-            self.verdict.failed += 1;
+            self.verdict.lost += 1;
         }
     }
 
+    /// Something came on a connection on which nothing was owed: an answer too many.
+    pub fn unasked(&mut self) {
+        self.verdict.doubled += 1;
+    }
+
     /// Counts requests whose time is long over as lost.
     pub fn close(&mut self, now: Micros) {
         let slack = self.rules.answer_slack.us();
@@ -170,22 +178,13 @@
     }
 
     /// A request that must not be repeated ran; `window` is for how long repeats are dropped, 0 for never.
-    /// Tells whether it may run.
-    pub fn runs(&mut self, now: Micros, identity: &str, window: Micros) -> bool {
+    pub fn runs(&mut self, now: Micros, identity: &str, window: Micros) {
         match self.runs.get(identity) {
-            Some(&first) if now < first + window => false, // dropped: it ran already
-            Some(_) => {
-                self.verdict.run_twice += 1;
-                true
-            }
-            None => {
-                if self.runs.len() >= RUNS {
-                    self.runs.pop_first();
-                }
-                self.runs.insert(identity.to_owned(), now);
-                true
-            }
+            Some(&at) if now < at + window => return, // dropped: it ran already
+            Some(_) => self.verdict.run_twice += 1,
+            None => {}
         }
+        self.runs.put(identity.to_owned(), now);
     }
 
     /// What was found so far.
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -142,7 +142,7 @@
     };
     let late = 1_000 * MS + rules.answer_slack.us() + 1;
     type Case<'a> = (&'a str, &'a dyn Fn(&mut Judge), fn(&Verdict) -> u64);
-    let cases: [Case; 7] = [
+    let cases: [Case; 9] = [
         (
             "lost",
             &|j| {
@@ -168,6 +168,15 @@
             },
             |v| v.doubled,
         ),
+        (
+            "abandoned",
+            &|j| {
+                j.asked(1, MS);
+                j.abandoned(1)
+            },
+            |v| v.lost,
+        ),
+        ("unasked", &|j| j.unasked(), |v| v.doubled),
         (
             "wrong",
             &|j| {
