Let faults at one server overlap without the end of one ending the other

Cause: each fault set and cleared the same mark: a slow spell of 1 ms ended a stall of an hour, a server killed twice was started twice, one that was replaced while killed came back beside its successor, and the end of a drain listed a dead server as serving. The test of two faults at once asked only for an answer, and could not fail.

Change: marks are counted, paces multiply, and what a fault would undo later is void once its process is another. Discovery, origin and zones stay away until the latest end. A control address that is no loopback is named itself.

--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -27,11 +27,13 @@
 const STREAMS: usize = 32;
 
 /// How a server behaves beside its model.
+///
+/// Faults of one kind may overlap: each is counted, and it is over when the last one is.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Manners {
-    pub garbles: bool,
-    pub cuts: bool,
-    pub silent: bool,
+    pub garbles: u32,
+    pub cuts: u32,
+    pub silent: u32,
     /// Counts up with each order to reset all connections.
     pub resets: u64,
 }
@@ -52,9 +54,22 @@
     model: Cache,
     waiters: HashMap<JobId, oneshot::Sender<End>>,
     done: Vec<Done>,
+    /// How much slower each fault makes it that is on now; 0 for one that stops it.
+    slowed: Vec<f64>,
+    /// Counts its deaths: what a fault would undo later is void once the process is another.
+    life: u64,
 }
 
 impl Inner {
+    /// All that slows it down together.
+    fn pace(&mut self, now: Micros) {
+        let factor = match self.slowed.contains(&0.0) {
+            true => 0.0,
+            false => self.slowed.iter().product(),
+        };
+        self.model.slow(now, factor, &mut self.done);
+    }
+
     /// Tells those whose jobs have ended.
     fn tell(&mut self) {
         for Done { id, end } in self.done.drain(..) {
@@ -74,10 +89,10 @@
 
 impl CachePort {
     pub async fn open(ip: IpAddr, nodes: usize, model: Cache) -> Result<CachePort, EmulatorError> {
-        let (waiters, done) = Default::default();
+        let (waiters, done, slowed) = Default::default();
         Ok(CachePort {
             listeners: Listeners::open(ip, nodes).await?,
-            inner: Mutex::new(Inner { model, waiters, done }),
+            inner: Mutex::new(Inner { model, waiters, done, slowed, life: 0 }),
             moved: Notify::new(),
             manners: watch::channel(Manners::default()).0,
             hits: AtomicU64::new(0),
@@ -131,10 +146,39 @@
         offered
     }
 
+    /// Slows it down, beside all that does so already, until [`quicken`](Self::quicken).
+    pub fn slow(&self, now: Micros, factor: f64) {
+        self.change_pace(now, |slowed| slowed.push(factor));
+    }
+
+    /// Takes one such fault back.
+    pub fn quicken(&self, now: Micros, factor: f64) {
+        self.change_pace(now, |slowed| {
+            let place = slowed.iter().position(|&one| one == factor);
+            place.into_iter().for_each(|place| _ = slowed.swap_remove(place));
+        });
+    }
+
+    fn change_pace(&self, now: Micros, change: impl FnOnce(&mut Vec<f64>)) {
+        let mut inner = locked(&self.inner);
+        change(&mut inner.slowed);
+        inner.pace(now);
+        inner.tell();
+        drop(inner);
+        self.moved.notify_one();
+    }
+
+    /// Which of its lives this is.
+    pub fn life(&self) -> u64 {
+        locked(&self.inner).life
+    }
+
     /// The process ends: what it had is lost.
     pub fn die(&self, now: Micros) {
         self.listeners.close();
         let mut inner = locked(&self.inner);
+        inner.life += 1;
+        inner.slowed.clear();
         inner.model.stop(now);
         inner.waiters.clear();
         inner.done.clear();
@@ -263,13 +307,13 @@
                 let answer: Option<Bytes> = answer;
                 let how = *manners.borrow();
                 // Whoever was silent once stays so: nothing comes on this connection again.
-                if how.silent || world.is_cut(node, server.zone) || answer.is_none() {
+                if how.silent > 0 || world.is_cut(node, server.zone) || answer.is_none() {
                     return silence(&mut manners, resets).await;
                 }
                 let answer = answer.unwrap_or_default();
                 out.clear();
                 spoil(how, &answer, &mut out);
-                if stream.write_all(&out).await.is_err() || how.cuts {
+                if stream.write_all(&out).await.is_err() || how.cuts > 0 {
                     return false;
                 }
                 answered += 1;
@@ -282,7 +326,7 @@
                 if !matches!(read, Ok(read) if read > 0) {
                     return false;
                 }
-                if manners.borrow().silent || world.is_cut(node, server.zone) {
+                if manners.borrow().silent > 0 || world.is_cut(node, server.zone) {
                     return silence(&mut manners, resets).await;
                 }
             }
@@ -302,11 +346,9 @@
 
 /// An answer, as a server in trouble writes it.
 fn spoil(how: Manners, answer: &[u8], out: &mut BytesMut) {
-    match how {
-        Manners { garbles: true, .. } => out.extend(answer.iter().map(|byte| byte ^ 0x5a)),
-        Manners { cuts: true, .. } => out.extend_from_slice(&answer[..answer.len() / 2]),
-        _ => out.extend_from_slice(answer),
-    }
+    let end = if how.cuts > 0 { answer.len() / 2 } else { answer.len() };
+    let noise = if how.garbles > 0 { 0x5a } else { 0 };
+    out.extend(answer[..end].iter().map(|byte| byte ^ noise));
 }
 
 /// A command's answer; nothing where none comes.
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -103,31 +103,33 @@
         FaultKind::Drain => {
             let started = port.with(|model, _| model.started()).unwrap_or(0);
             world.note(server.number, State::Draining, started);
-            after(world, lasts, move |world| world.note(server.number, State::Serving, started));
+            let life = port.life();
+            after(world, lasts, move |world| {
+                if server.port.life() == life {
+                    world.note(server.number, State::Serving, started);
+                }
+            });
         }
         FaultKind::Stall | FaultKind::Slow => {
             let factor = if kind == FaultKind::Stall { 0.0 } else { factor };
-            port.with(|model, done| model.slow(now, factor, done));
-            after(world, lasts, move |world| {
-                let now = world.now();
-                server.port.with(|model, done| model.slow(now, 1.0, done));
-            });
+            port.slow(now, factor);
+            after(world, lasts, move |world| server.port.quicken(world.now(), factor));
         }
         FaultKind::Garble => {
-            port.behave(|manners| manners.garbles = true);
-            after(world, lasts, move |_| server.port.behave(|manners| manners.garbles = false));
+            port.behave(|manners| manners.garbles += 1);
+            after(world, lasts, move |_| server.port.behave(|manners| manners.garbles -= 1));
         }
         FaultKind::Cut => {
-            port.behave(|manners| manners.cuts = true);
-            after(world, lasts, move |_| server.port.behave(|manners| manners.cuts = false));
+            port.behave(|manners| manners.cuts += 1);
+            after(world, lasts, move |_| server.port.behave(|manners| manners.cuts -= 1));
         }
         FaultKind::Reset => port.behave(|manners| manners.resets += 1),
         FaultKind::Silence => {
-            port.behave(|manners| manners.silent = true);
+            port.behave(|manners| manners.silent += 1);
             // Back again, it knows nothing of the connections from before.
             after(world, lasts, move |_| {
                 server.port.behave(|manners| {
-                    manners.silent = false;
+                    manners.silent -= 1;
                     manners.resets += 1;
                 });
             });
@@ -144,9 +146,13 @@
 /// The process dies, and starts again after a while.
 async fn kill(world: Arc<World>, server: Arc<Server>, lasts: Micros) {
     server.port.die(world.now());
+    let life = server.port.life();
     world.note(server.number, State::Deleted, 0);
     sleep(Duration::from_micros(lasts)).await;
-    server.restart(&world).await;
+    // Killed again meanwhile, or replaced, it is not for this fault to bring it back.
+    if server.port.life() == life {
+        server.restart(&world).await;
+    }
 }
 
 /// Drains for a while, then another takes its place.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -146,7 +146,10 @@
     }
 
     pub fn cut(&self, zone: usize, until: Micros) {
-        locked(&self.cut_off).insert(zone, until);
+        let mut cut = locked(&self.cut_off);
+        let of = cut.entry(zone).or_default();
+        *of = until.max(*of);
+        drop(cut);
         self.any_cut.store(true, Ordering::Relaxed);
     }
 
@@ -211,8 +214,8 @@
     /// # Errors
     /// If an address can't be listened at; nothing is left of what had started.
     pub async fn start(site: Site, options: Options) -> Result<Emulator, EmulatorError> {
-        if !options.ip.is_loopback() || !options.control.ip().is_loopback() {
-            return Err(EmulatorError::NotLoopback(options.ip));
+        if let Some(ip) = [options.ip, options.control.ip()].into_iter().find(|ip| !ip.is_loopback()) {
+            return Err(EmulatorError::NotLoopback(ip));
         }
         let stop = CancellationToken::new();
         let guard = stop.clone().drop_guard();
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -217,12 +217,40 @@
     );
     begin(&emulator, r#"{"kind":"silence","server":"c-0","for":"5ms"}"#);
     assert!(near.get("k", "i").await.is_err(), "a reset, once it is back");
-    // A stall is no break: the answer comes, later. Two faults at once do not hide each other.
+    // A stall is no break: the answer comes, later.
     begin(&emulator, r#"{"kind":"stall","server":"c-1","for":"20ms"}"#);
-    begin(&emulator, r#"{"kind":"slow","server":"c-1","factor":3,"for":"1ms"}"#);
     assert!(Peer::at(addr(&emulator, 0, "c-1")).await.get("k", "i").await.is_ok());
 }
 
+#[tokio::test]
+async fn the_end_of_one_fault_is_not_the_end_of_another_at_the_same_server() {
+    let emulator = emulator(&[]).await;
+    let at = addr(&emulator, 0, "c-0");
+    for kind in ["garble", "stall"] {
+        begin(&emulator, &format!(r#"{{"kind":"{kind}","server":"c-0","for":"1h"}}"#));
+    }
+    begin(&emulator, r#"{"kind":"slow","server":"c-0","factor":3,"for":"1ms"}"#);
+    begin(&emulator, r#"{"kind":"garble","server":"c-0","for":"1ms"}"#);
+    let mut stalled = Peer::at(at).await;
+    stalled.0.write_all(command(&["CACHE.GET", "k", "i", "d=9"]).as_bytes()).await.unwrap();
+    // The short faults are long over by then.
+    let silence = timeout(Duration::from_millis(100), stalled.0.readable()).await;
+    assert!(silence.is_err(), "it stands still");
+    // Killed while it is killed, and replaced while it is killed, it comes back once or not at all.
+    begin(&emulator, r#"{"kind":"kill","server":"c-0","for":"1ms"}"#);
+    begin(&emulator, r#"{"kind":"kill","server":"c-0","for":"2ms"}"#);
+    until("it is back", async || TcpStream::connect(at).await.is_ok()).await;
+    begin(&emulator, r#"{"kind":"replace","server":"c-1","for":"1ms"}"#);
+    begin(&emulator, r#"{"kind":"kill","server":"c-1","for":"30ms"}"#);
+    let gone = addr(&emulator, 0, "c-1");
+    until("its successor is listed", async || {
+        list(&emulator, 0, "").await.unwrap().1.to_string().contains("c-2")
+    })
+    .await;
+    sleep(Duration::from_millis(60)).await;
+    assert!(TcpStream::connect(gone).await.is_err(), "what was replaced stays away");
+}
+
 #[tokio::test]
 async fn the_origin_stops_and_discovery_is_away_late_and_catches_up() {
     let emulator = emulator(&[]).await;
--- a/crates/model/src/discovery.rs
+++ b/crates/model/src/discovery.rs
@@ -92,12 +92,12 @@
 
     /// Answers nobody until then.
     pub fn away(&mut self, until: Micros) {
-        self.away_until = until;
+        self.away_until = until.max(self.away_until);
     }
 
     /// Learns nothing new until then.
     pub fn stale(&mut self, until: Micros) {
-        self.stale_until = until;
+        self.stale_until = until.max(self.stale_until);
     }
 
     /// When it learns something next.
--- a/crates/model/src/origin.rs
+++ b/crates/model/src/origin.rs
@@ -83,7 +83,7 @@
 
     /// Stops it until then; what it had is lost. Tells which.
     pub fn stop(&mut self, now: Micros, until: Micros) -> Vec<u64> {
-        self.stopped_until = until;
+        self.stopped_until = until.max(self.stopped_until);
         let lost =
             self.running.keys().map(|&(_, id)| id).chain(self.waiting.iter().map(|(id, _)| *id)).collect();
         self.running.clear();
