End a demo whole on SIGTERM too, and say when its load was the bottleneck

The test named after leaving nothing behind did not look, and no test saw the emulator end with 1.

Change: SIGTERM and Ctrl-C end the demo at any moment; not_sent is in the last line and object.

--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -13,7 +13,6 @@
 use stonefold_model::site::{Fault, FaultKind, Site};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStderr, Command};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, interval_at, sleep, timeout};
 
 use crate::args::{DemoArgs, Format};
@@ -30,7 +29,13 @@
 /// Runs the demo.
 pub fn run(args: DemoArgs) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    runtime.block_on(play(args))
+    // Told to end at any moment, it drops its nodes and their folder, which ends them.
+    runtime.block_on(async {
+        tokio::select! {
+            played = play(args) => played,
+            told = ended(None) => told,
+        }
+    })
 }
 
 /// The embedded site, of the size that was asked for.
@@ -67,18 +72,14 @@
         nodes.push(start(node, &config, folder.path()).await?);
     }
     let load = Load::new(&emulator, nodes.iter().map(|node| node.addr).collect());
-    let mut interrupted = signal(SignalKind::interrupt())?;
     let running = tokio::spawn(load.clone().run(rate, args.duration));
-    tokio::select! {
-        told = table(&emulator, &load, &args) => told?,
-        _ = interrupted.recv() => return Ok(()),
-    }
+    table(&emulator, &load, &args).await?;
     running.await.map_err(Failure::failed)?;
     let verdict = emulator.verdict();
     told_end(&emulator, &load, &args, verdict)?;
     if args.keep {
         told_addresses(&emulator, &nodes)?;
-        ended(None).await?;
+        std::future::pending::<()>().await;
     }
     match verdict.rules_broken() {
         0 => Ok(()),
@@ -204,7 +205,8 @@
     let mut out = io::stdout().lock();
     if args.format == Format::Json {
         let end = json!({"requests": all.requests, "served": all.served, "refused": all.refused, "failed": all.failed,
-            "p50_ms": all.p50_ms, "p99_ms": all.p99_ms, "origin_rps": origin, "rules_broken": verdict.rules_broken()});
+            "p50_ms": all.p50_ms, "p99_ms": all.p99_ms, "origin_rps": origin,
+            "not_sent": all.not_sent, "rules_broken": verdict.rules_broken()});
         writeln!(out, "{end}")?;
     } else {
         writeln!(
@@ -220,6 +222,13 @@
             verdict.rules_broken()
         )?;
     }
+    if all.not_sent > 0 {
+        writeln!(
+            out,
+            "{} requests were not sent, since too many were out: the load was the bottleneck",
+            all.not_sent
+        )?;
+    }
     Ok(out.flush()?)
 }
 
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -189,7 +189,7 @@
 }
 
 #[test]
-fn the_demo_serves_through_a_rolling_restart_and_leaves_nothing_behind() {
+fn the_demo_serves_through_a_rolling_restart() {
     let args =
         ["demo", "--duration", "3s", "--nodes", "2", "--caches", "4", "--rate", "100", "--format", "json"];
     let (code, out, err) = told(&stonefold(&args));
@@ -272,3 +272,60 @@
     let (code, out, err) = get();
     assert!(code == 1 && out.is_empty() && (err.contains("refused") || err.contains("failed")), "{err}");
 }
+
+#[test]
+fn a_demo_that_is_kept_can_be_asked_and_told_to_end_leaves_nothing_behind() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_stonefold"))
+        .args(["demo", "--duration", "1s", "--nodes", "2", "--caches", "2", "--rate", "50", "--keep"])
+        .env("TMPDIR", dir.path())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(demo.stdout.take().unwrap()).lines().map(Result::unwrap);
+    let node =
+        lines.find_map(|line| Some(line.strip_prefix("node 0: clients at ")?.split(',').next()?.to_owned()));
+    let node = node.expect("addresses");
+    assert!(lines.any(|line| line.starts_with("Ctrl-C")));
+    let (code, out, err) = told(&stonefold(&["get", "record:1", "--node", &node, "--deadline", "10s"]));
+    assert!(code == 0 && out.contains(":record:1:"), "{out} {err}");
+    assert!(Command::new("kill").arg(demo.id().to_string()).status().unwrap().success());
+    assert!(demo.wait().unwrap().success());
+    // Its nodes are gone, and so is what it wrote.
+    while std::net::TcpStream::connect(&node).is_ok() {}
+    assert_eq!(std::fs::read_dir(dir.path()).unwrap().count(), 0);
+}
+
+#[test]
+fn an_emulator_whose_rules_were_broken_ends_with_1() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = dir.path().join("site.toml");
+    let text = "name='s'\nnodes=1\nrate=1\n[[cache]]\n[[class]]\nname='put'\nshare=1\nwork='0s'\naim='1s'\n\
+        deadline='9s'\neffect='unsafe'\nwrite=true\n";
+    std::fs::write(&site, text).unwrap();
+    let configs = dir.path().join("nodes");
+    let mut emulator = Command::new(env!("CARGO_BIN_EXE_stonefold"))
+        .args(["emulate", site.to_str().unwrap(), "--configs", configs.to_str().unwrap(), "--format", "json"])
+        .args(["--log", "off"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(emulator.stdout.take().unwrap()).lines().map(Result::unwrap);
+    lines.next().unwrap();
+    let config = std::fs::read_to_string(configs.join("node-0.toml")).unwrap();
+    let origin =
+        config.split("id = \"origin\"\naddr = \"").nth(1).unwrap().split('"').next().unwrap().to_owned();
+    for _ in 0..2 {
+        use std::io::{Read, Write};
+        let mut stream = std::net::TcpStream::connect(&origin).unwrap();
+        let put = "PUT /k HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: i\r\nX-Facts: c=put,d=9\r\n\
+            Content-Length: 0\r\nConnection: close\r\n\r\n";
+        stream.write_all(put.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(Command::new("kill").arg(emulator.id().to_string()).status().unwrap().success());
+    assert_eq!(emulator.wait().unwrap().code(), Some(1));
+    assert!(lines.next().unwrap().contains("\"run_twice\":1"));
+}
