See the demo end whole under load, in a test that was red before

Cause: the test of what a demo leaves behind ended it after its load, where SIGTERM was heard before too: run against the code before, it passed.

Change: a test that ends it under load.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -296,6 +296,22 @@
     assert_eq!(std::fs::read_dir(dir.path()).unwrap().count(), 0);
 }
 
+#[test]
+fn a_demo_that_is_told_to_end_under_load_leaves_nothing_behind() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_stonefold"))
+        .args(["demo", "--duration", "10m", "--nodes", "1", "--caches", "2", "--rate", "50"])
+        .env("TMPDIR", dir.path())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut rows = BufReader::new(demo.stdout.take().unwrap()).lines().map(Result::unwrap);
+    assert!(rows.any(|row| row.trim().starts_with("1s ")));
+    assert!(Command::new("kill").arg(demo.id().to_string()).status().unwrap().success());
+    assert!(demo.wait().unwrap().success());
+    assert_eq!(std::fs::read_dir(dir.path()).unwrap().count(), 0);
+}
+
 #[test]
 fn an_emulator_whose_rules_were_broken_ends_with_1() {
     let dir = tempfile::tempdir().unwrap();
