Use one accept loop, one command writer and known crates where code stood twice or by hand

Change: port::accept, resp::put_command and resp::fact serve all; xxh3 and ordered-float take the place of what was ours; the sites' schema derives and schema_of are gone, and schemars with them from the model. One clamp for the units (Ord::clamp is not const).

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use redis_protocol::resp2::types::BytesFrame;
-use stonefold_proto::resp::next_frame;
+use stonefold_proto::resp::{next_frame, put_command};
 
 /// Beyond the deadline the answer is waited for so much longer: it may be on its way.
 const LATE: Duration = Duration::from_millis(200);
@@ -32,12 +32,8 @@
     let start = Instant::now();
     let mut stream = TcpStream::connect_timeout(&node, deadline.max(Duration::from_millis(1)))?;
     stream.set_nodelay(true)?;
-    let mut text = format!("*{}\r\n", words.len()).into_bytes();
-    for word in words {
-        text.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
-        text.extend_from_slice(word);
-        text.extend_from_slice(b"\r\n");
-    }
+    let mut text = BytesMut::new();
+    put_command(&mut text, words);
     stream.write_all(&text)?;
     let mut buffer = BytesMut::new();
     let mut piece = vec![0; 16 << 10];
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,6 @@
 pub use check::{Check, Wrong};
 pub use error::{ConfigError, Fault, Place};
 pub use layers::{Layers, Origin};
-pub use load::{Explained, Loaded, load, schema, schema_of};
+pub use load::{Explained, Loaded, load, schema};
 pub use tree::*;
 pub use units::{Count, Fine, Millis, Part, Positive, Size};
--- a/crates/config/src/load.rs
+++ b/crates/config/src/load.rs
@@ -1,6 +1,6 @@
 //! From layers to the checked tree, and what is told of it.
 
-use schemars::{JsonSchema, Schema, schema_for};
+use schemars::{Schema, schema_for};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use toml::Value;
@@ -108,10 +108,5 @@
 
 /// The JSON Schema of a node's configuration.
 pub fn schema() -> Schema {
-    schema_of::<Config>()
-}
-
-/// The JSON Schema of a tree.
-pub fn schema_of<T: JsonSchema>() -> Schema {
-    schema_for!(T)
+    schema_for!(Config)
 }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -32,6 +32,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Positive(f64);
 
+/// `Ord::clamp` is not const yet.
+const fn cut(n: u64, min: u64, max: u64) -> u64 {
+    if n < min {
+        min
+    } else if n > max {
+        max
+    } else {
+        n
+    }
+}
+
 fn span(ms: u64) -> String {
     humantime::format_duration(Duration::from_millis(ms)).to_string()
 }
@@ -52,13 +63,7 @@
 impl<const MIN: u64, const MAX: u64> Millis<MIN, MAX> {
     /// So many milliseconds, cut to the range.
     pub const fn new(ms: u64) -> Self {
-        Millis(if ms < MIN {
-            MIN
-        } else if ms > MAX {
-            MAX
-        } else {
-            ms
-        })
+        Millis(cut(ms, MIN, MAX))
     }
     /// In milliseconds.
     pub const fn ms(self) -> u64 {
@@ -76,13 +81,7 @@
 impl<const MIN: u64, const MAX: u64> Fine<MIN, MAX> {
     /// So many microseconds, cut to the range.
     pub const fn new(us: u64) -> Self {
-        Fine(if us < MIN {
-            MIN
-        } else if us > MAX {
-            MAX
-        } else {
-            us
-        })
+        Fine(cut(us, MIN, MAX))
     }
     /// In microseconds.
     pub const fn us(self) -> u64 {
@@ -96,13 +95,7 @@
 impl<const MIN: u64, const MAX: u64> Size<MIN, MAX> {
     /// So many bytes, cut to the range.
     pub const fn new(bytes: u64) -> Self {
-        Size(if bytes < MIN {
-            MIN
-        } else if bytes > MAX {
-            MAX
-        } else {
-            bytes
-        })
+        Size(cut(bytes, MIN, MAX))
     }
     /// In bytes.
     pub const fn bytes(self) -> u64 {
@@ -116,13 +109,7 @@
 impl<const MIN: u64, const MAX: u64> Count<MIN, MAX> {
     /// This number, cut to the range.
     pub const fn new(n: u64) -> Self {
-        Count(if n < MIN {
-            MIN
-        } else if n > MAX {
-            MAX
-        } else {
-            n
-        })
+        Count(cut(n, MIN, MAX))
     }
     /// As an index or length.
     pub const fn get(self) -> usize {
--- a/crates/emulator/examples/throughput.rs
+++ b/crates/emulator/examples/throughput.rs
@@ -16,7 +16,7 @@
 use stonefold_config::{Count, Fine};
 use stonefold_emulator::{Emulator, Options};
 use stonefold_model::site::Site;
-use stonefold_proto::resp::next_frame;
+use stonefold_proto::resp::{next_frame, put_command};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -94,8 +94,7 @@
         while sent < answers + DEPTH as u64 {
             let key = format!("record:{}", (number * 7919 + sent as usize * 31) % KEYS);
             let words = ["CACHE.GET", &key, &format!("{number:04x}{sent:012x}"), "c=record-lookup,d=1000"];
-            out.extend_from_slice(b"*4\r\n");
-            words.iter().for_each(|w| out.extend_from_slice(format!("${}\r\n{w}\r\n", w.len()).as_bytes()));
+            put_command(&mut out, &words.map(str::as_bytes));
             sent += 1;
         }
         stream.write_all(&out).await?;
--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::{FuturesOrdered, StreamExt};
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_model::{Cache, Done, End, Job, JobId, Micros, Refusal, Report, State, Work};
-use stonefold_proto::resp::next_frame;
+use stonefold_proto::resp::{fact, next_frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
@@ -390,7 +390,7 @@
     write: bool,
 ) -> Option<Bytes> {
     let class = request::class(&world.site, facts);
-    let wait = request::fact(facts, "d").and_then(|d| d.parse::<f64>().ok()).unwrap_or(0.0);
+    let wait = fact(facts, "d").and_then(|d| d.parse::<f64>().ok()).unwrap_or(0.0);
     let now = world.now();
     let job = Job {
         work: if write { Work::Write(key.into()) } else { Work::Read(key.into()) },
--- a/crates/emulator/src/control.rs
+++ b/crates/emulator/src/control.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -13,28 +12,17 @@
 
 use crate::faults;
 use crate::http::{self, Answer, Gone, always};
+use crate::port::accept;
 use crate::world::World;
 
 /// The longest fault.
 const LARGEST: usize = 16 << 10;
 
 pub(crate) fn serve(world: &Arc<World>, listener: TcpListener) {
-    let world = world.clone();
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = world.stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            let (world, end) = (world.clone(), world.stop.child_token());
-            tokio::spawn(async move {
-                http::connection(stream, end, |request| answer(world.clone(), request)).await;
-            });
-        }
+    let (of, stop) = (world.clone(), world.stop.clone());
+    accept(listener, stop, move |stream, end| {
+        let world = of.clone();
+        async move { http::connection(stream, end, |request| answer(world.clone(), request)).await }
     });
 }
 
--- a/crates/emulator/src/discovery.rs
+++ b/crates/emulator/src/discovery.rs
@@ -7,11 +7,12 @@
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 use stonefold_model::{Listed, Listing, State};
+use stonefold_proto::resp::fact;
 use tokio::net::TcpListener;
 use tokio::time::{sleep_until, timeout};
 
 use crate::http::{self, Answer, Gone};
-use crate::request::fact;
+use crate::port::accept;
 use crate::world::{World, locked};
 
 /// A watch waits no longer than this, whatever it asks for.
@@ -19,22 +20,10 @@
 
 pub(crate) fn serve(world: &Arc<World>, listeners: Vec<TcpListener>) {
     for (node, listener) in listeners.into_iter().enumerate() {
-        let world = world.clone();
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    () = world.stop.cancelled() => return,
-                    accepted = listener.accept() => accepted,
-                };
-                let Ok((stream, _)) = accepted else {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                    continue;
-                };
-                let (world, end) = (world.clone(), world.stop.child_token());
-                tokio::spawn(async move {
-                    http::connection(stream, end, |request| call(world.clone(), node, request)).await;
-                });
-            }
+        let (of, stop) = (world.clone(), world.stop.clone());
+        accept(listener, stop, move |stream, end| {
+            let world = of.clone();
+            async move { http::connection(stream, end, |request| call(world.clone(), node, request)).await }
         });
     }
     tokio::spawn(learn(world.clone()));
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use stonefold_config::Effect;
 use stonefold_model::{Answer, Ask, Clients, Micros};
-use stonefold_proto::resp::next_frame;
+use stonefold_proto::resp::{next_frame, put_command};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -256,11 +256,9 @@
         }
         let value = class.write.then(|| "a".repeat(64));
         let name = if class.write { "CACHE.SET" } else { "CACHE.GET" };
-        let words: Vec<&str> = [name, key, id, &facts].into_iter().chain(value.as_deref()).collect();
-        let mut text = BytesMut::from(format!("*{}\r\n", words.len()).as_bytes());
-        for word in words {
-            text.extend_from_slice(format!("${}\r\n{word}\r\n", word.len()).as_bytes());
-        }
+        let words = [name, key, id, &facts].into_iter().chain(value.as_deref()).map(str::as_bytes);
+        let mut text = BytesMut::new();
+        put_command(&mut text, &words.collect::<Vec<_>>());
         text
     }
 }
--- a/crates/emulator/src/port.rs
+++ b/crates/emulator/src/port.rs
@@ -49,25 +49,8 @@
         let run = stop.child_token();
         *locked(&self.run) = run.clone();
         for (node, listener) in locked(&self.fresh).drain(..).enumerate() {
-            let (run, each) = (run.clone(), each.clone());
-            tokio::spawn(async move {
-                loop {
-                    let accepted = tokio::select! {
-                        () = run.cancelled() => return,
-                        accepted = listener.accept() => accepted,
-                    };
-                    match accepted {
-                        Ok((stream, _)) => {
-                            let _ = stream.set_nodelay(true); // slower without, no worse
-                            tokio::spawn(each(node, stream, run.child_token()));
-                        }
-                        Err(error) => {
-                            warn!(event = "accept_failed", front = "emulator", %error, "a connection is not taken");
-                            tokio::time::sleep(PAUSE).await;
-                        }
-                    }
-                }
-            });
+            let each = each.clone();
+            accept(listener, run.clone(), move |stream, end| each(node, stream, end));
         }
     }
 
@@ -94,6 +77,32 @@
     }
 }
 
+/// Accepts connections until it is told to end; each gets a token that ends it too.
+pub(crate) fn accept<F, Fut>(listener: TcpListener, end: CancellationToken, each: F)
+where
+    F: Fn(TcpStream, CancellationToken) -> Fut + Send + 'static,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                () = end.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true); // slower without, no worse
+                    tokio::spawn(each(stream, end.child_token()));
+                }
+                Err(error) => {
+                    warn!(event = "accept_failed", front = "emulator", %error, "a connection is not taken");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
 /// Closes a connection so that the peer sees a reset, not an end.
 pub(crate) fn reset(stream: TcpStream) {
     // Where the option can't be set the peer sees an end instead, which is a break too.
--- a/crates/emulator/src/request.rs
+++ b/crates/emulator/src/request.rs
@@ -7,6 +7,8 @@
 use lru::LruCache;
 use stonefold_model::Random;
 use stonefold_model::site::{ClassKind, Site};
+use stonefold_proto::resp::fact;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::world::locked;
 
@@ -20,36 +22,25 @@
     format!("record:{number}")
 }
 
-/// A fact by its name.
-pub(crate) fn fact<'a>(facts: &'a str, name: &str) -> Option<&'a str> {
-    facts.split(',').find_map(|fact| fact.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| v))
-}
-
 /// The class that a request names, or else the first.
 pub(crate) fn class<'a>(site: &'a Site, facts: &str) -> &'a ClassKind {
     let named = fact(facts, "c").and_then(|name| site.classes.iter().find(|class| class.name == name));
     named.unwrap_or(&site.classes[0])
 }
 
-fn hash(text: &[u8]) -> u64 {
-    // FNV-1a: a seed for the value's size, not a defence.
-    text.iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, &byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
-}
-
 /// How much work a request is: the same at every server it comes to.
 pub(crate) fn cost(site: &Site, class: &ClassKind, id: &[u8]) -> f64 {
     let mean = class.work.us() as f64;
     if mean == 0.0 {
         return 0.0;
     }
-    Random::new(site.seed.get() as u64 ^ hash(id), 11).lognormal(mean, class.work_sigma.get())
+    Random::new(site.seed.get() as u64 ^ xxh3_64(id), 11).lognormal(mean, class.work_sigma.get())
 }
 
 /// How long a key's value is.
 pub(crate) fn size(site: &Site, key: &str) -> u64 {
     let mean = site.keys.value.bytes() as f64;
-    let drawn = Random::new(site.seed.get() as u64 ^ hash(key.as_bytes()), 12)
+    let drawn = Random::new(site.seed.get() as u64 ^ xxh3_64(key.as_bytes()), 12)
         .lognormal(mean, site.keys.value_sigma.get());
     (drawn as u64).min(4 << 20)
 }
--- a/crates/model/src/cache.rs
+++ b/crates/model/src/cache.rs
@@ -7,6 +7,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+use ordered_float::OrderedFloat;
+
 use crate::Micros;
 use crate::random::Random;
 use crate::site::{CacheKind, Rules};
@@ -113,7 +115,7 @@
     /// What each request in service would have got since the start.
     got: f64,
     /// By what `got` will be when they end; those called off are still in it.
-    ends: BinaryHeap<Reverse<(Ordered, JobId)>>,
+    ends: BinaryHeap<Reverse<(OrderedFloat<f64>, JobId)>>,
     running: BTreeMap<JobId, Running>,
     waiting: VecDeque<(JobId, Job)>,
     last: u64,
@@ -127,24 +129,6 @@
     reported: Micros,
 }
 
-/// A number that is never NaN, in its order.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Ordered(f64);
-
-impl Eq for Ordered {}
-
-impl PartialOrd for Ordered {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Ordered {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
 impl Cache {
     /// A server that has run since long ago; `number` sets it apart from others of the same seed.
     pub fn new(kind: &CacheKind, rules: &Rules, seed: u64, number: u64, now: Micros) -> Cache {
@@ -296,7 +280,7 @@
     }
 
     fn begin(&mut self, now: Micros, id: JobId, job: Job) {
-        self.ends.push(Reverse((Ordered(self.got + job.cost.max(0.0)), id)));
+        self.ends.push(Reverse((OrderedFloat(self.got + job.cost.max(0.0)), id)));
         self.running.insert(id, Running { job, begun: now });
     }
 
@@ -332,7 +316,7 @@
         if self.at < self.paused_until {
             return Some(self.paused_until);
         }
-        let Reverse((Ordered(end), _)) = *self.ends.peek()?;
+        let Reverse((OrderedFloat(end), _)) = *self.ends.peek()?;
         let rate = self.rate(self.at);
         let left = ((end - self.got).max(0.0) / rate).ceil() as Micros;
         let grain = if self.is_cold(self.at) { GRAIN } else { Micros::MAX };
@@ -370,7 +354,7 @@
     fn end_due(&mut self, done: &mut Vec<Done>) {
         // Guards against: a rest of rounding for which time would never come.
         const EPSILON: f64 = 1e-3;
-        while let Some(&Reverse((Ordered(end), id))) = self.ends.peek() {
+        while let Some(&Reverse((OrderedFloat(end), id))) = self.ends.peek() {
             if !self.running.contains_key(&id) {
                 self.ends.pop();
                 continue;
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -1,6 +1,5 @@
 //! A site: everything that stands round the nodes, and what goes wrong with it. Each field has its unit and range.
 
-use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use stonefold_config::{Check, Count, Effect, Fine, Part, Positive, Scope, Size, Wrong};
 
@@ -14,7 +13,7 @@
 pub type Sigma = Part;
 
 /// A site.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Site {
     /// Its name.
@@ -61,7 +60,7 @@
 }
 
 /// Zones, and the ways between them.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NetworkKind {
     /// The zones; servers and nodes are dealt over them in turn.
@@ -86,7 +85,7 @@
 }
 
 /// Cache servers that are alike.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CacheKind {
     /// The name of the kind.
@@ -159,7 +158,7 @@
 }
 
 /// The origin.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct OriginKind {
     /// Fetches in service at once.
@@ -196,7 +195,7 @@
 }
 
 /// Discovery.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DiscoveryKind {
     /// The mean time after which it knows of a change.
@@ -218,7 +217,7 @@
 }
 
 /// What is asked for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Keys {
     /// How many there are.
@@ -236,9 +235,9 @@
 }
 
 /// So many in a second, 0 for none.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
-pub struct Rate(#[schemars(range(min = 0.0, max = 1e6))] f64);
+pub struct Rate(f64);
 
 impl Rate {
     /// As a number.
@@ -278,7 +277,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassKind {
     /// Its name.
@@ -308,7 +307,7 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TenantKind {
     /// Its name.
@@ -325,7 +324,7 @@
 }
 
 /// What a node must keep to.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
     /// An answer so long after the deadline still counts.
@@ -350,7 +349,7 @@
 }
 
 /// Something that goes wrong.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When, from the start.
@@ -380,7 +379,7 @@
 }
 
 /// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
     /// The process dies, its connections reset; it starts again, cold, after `for`.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use stonefold_balancer::Micros;
+use stonefold_proto::resp;
 
 use crate::relay::Stream;
 
@@ -23,8 +24,7 @@
 impl Command {
     /// A value by its name.
     pub fn fact(&self, name: &str) -> Option<&str> {
-        let facts = str::from_utf8(&self.facts).ok()?;
-        facts.split(',').find_map(|fact| fact.split_once('=').filter(|f| f.0 == name).map(|f| f.1))
+        resp::fact(str::from_utf8(&self.facts).ok()?, name)
     }
 }
 
--- a/crates/proto/src/resp.rs
+++ b/crates/proto/src/resp.rs
@@ -13,6 +13,21 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed;
 
+/// Appends a command: an array of bulk strings.
+pub fn put_command(to: &mut BytesMut, words: &[&[u8]]) {
+    to.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    for word in words {
+        to.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        to.extend_from_slice(word);
+        to.extend_from_slice(b"\r\n");
+    }
+}
+
+/// A value by its name, in a list of names and values such as `c=read,d=480`.
+pub fn fact<'a>(facts: &'a str, name: &str) -> Option<&'a str> {
+    facts.split(',').find_map(|fact| fact.split_once('=').filter(|f| f.0 == name).map(|f| f.1))
+}
+
 /// Takes the first frame out of the buffer, once it is whole.
 ///
 /// Guards against: frames nested so deeply that the codec's recursion overflows the stack, and frames
