Derive the remaining errors, tell load reports late, and pass 4 MiB through a stalled cache

Change: thiserror throughout, with the words as they were (but for one on a passed descriptor); report_delay, 200 ms by default; the two tests.

--- a/crates/balancer/src/setup.rs
+++ b/crates/balancer/src/setup.rs
@@ -4,7 +4,6 @@
 
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
-use std::fmt;
 
 use serde::Deserialize;
 
@@ -106,34 +105,25 @@
 const CONNECT_TIMEOUT: Micros = 1_000_000;
 
 /// Why settings could not be used.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum SetupError {
     /// A class of an unknown effect.
+    #[error("unknown effect {0:?}")]
     Effect(String),
     /// No class at all, where some are wanted.
+    #[error("no class")]
     NoClass,
     /// A class without a name, or with the name of another.
+    #[error("class name {0:?} is empty or used twice")]
     Name(String),
     /// A class whose aim or deadline is no positive number.
+    #[error("class {0:?} has no positive aim and deadline")]
     Time(String),
     /// No attempts, or none stated.
+    #[error("attempts are not a positive number")]
     Attempts,
 }
 
-impl fmt::Display for SetupError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SetupError::Effect(effect) => write!(f, "unknown effect {effect:?}"),
-            SetupError::NoClass => write!(f, "no class"),
-            SetupError::Name(name) => write!(f, "class name {name:?} is empty or used twice"),
-            SetupError::Time(name) => write!(f, "class {name:?} has no positive aim and deadline"),
-            SetupError::Attempts => write!(f, "attempts are not a positive number"),
-        }
-    }
-}
-
-impl std::error::Error for SetupError {}
-
 impl Stated {
     /// Whether a node can go by these settings as they stand, with no default for what matters.
     ///
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -312,6 +312,32 @@
     assert_eq!(std::fs::read_dir(dir.path()).unwrap().count(), 0);
 }
 
+#[test]
+fn the_longest_value_comes_whole_through_a_cache_that_stalls_amid_load() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = dir.path().join("site.toml");
+    let text = "name='s'\nnodes=1\nrate=1\n[keys]\ncount=1\nheld=1\nvalue='4MiB'\nvalue_sigma=0\n[[cache]]\n\
+        [[class]]\nname='read'\nshare=1\nwork='50ms'\naim='9s'\ndeadline='30s'\neffect='safe'\n\
+        [[fault]]\nkind='stall'\nserver='c-0'\nfor='1500ms'\n";
+    std::fs::write(&site, text).unwrap();
+    let configs = dir.path().join("nodes");
+    let mut emulator = Command::new(env!("CARGO_BIN_EXE_stonefold"))
+        .args(["emulate", site.to_str().unwrap(), "--configs", configs.to_str().unwrap(), "--log", "off"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(emulator.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let node = Own::start(&configs.join("node-0.toml"));
+    let at = node.addr.to_string();
+    let get = ["get", "record:0", "--node", &at, "--class", "read", "--deadline", "30s"];
+    let (code, out, err) = told(&stonefold(&get));
+    assert_eq!((code, out.len()), (0, (4 << 20) + 1), "{err}");
+    assert!(out.contains(":record:0:") && out.ends_with(".\n"));
+    emulator.kill().unwrap();
+    emulator.wait().unwrap();
+}
+
 #[test]
 fn an_emulator_whose_rules_were_broken_ends_with_1() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/model/src/cache.rs
+++ b/crates/model/src/cache.rs
@@ -126,6 +126,8 @@
     pressure: Window,
     latency_ms: f64,
     report: Report,
+    /// The next one, and when it is told.
+    coming: Option<(Micros, Report)>,
     reported: Micros,
 }
 
@@ -154,6 +156,7 @@
             pressure: Window::new(rules.overload_for.us()),
             latency_ms: 0.0,
             report: Report::default(),
+            coming: None,
             reported: 0,
             kind: kind.clone(),
             rules: rules.clone(),
@@ -417,17 +420,22 @@
         self.store.drop(key);
     }
 
-    /// What it tells of its load: refreshed now and then, and a little off.
+    /// What it tells of its load: made anew now and then, a little off, and told late.
     pub fn report(&mut self, now: Micros) -> Report {
         if now >= self.reported + self.kind.report_every.us() || self.reported == 0 {
             let noise = self.kind.report_noise.get();
             let mut near = |value: f64| value * (1.0 + noise * (2.0 * self.random.unit() - 1.0));
-            self.report = Report {
+            let report = Report {
                 latency_ms: near(self.latency_ms),
                 queue: near(self.waiting.len() as f64).round(),
                 fetches: self.fetches.values().filter(|&&until| until > now).count() as f64,
             };
             self.reported = now.max(1);
+            // One that is made before the last was told takes its place.
+            self.coming = Some((now + self.kind.report_delay.us(), report));
+        }
+        if let Some((_, report)) = self.coming.take_if(|(at, _)| *at <= now) {
+            self.report = report;
         }
         self.report
     }
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -126,6 +126,8 @@
     pub closes_after: Count<0, 1_000_000>,
     /// How often its load report is made anew.
     pub report_every: Time,
+    /// A report is told so long after it was made.
+    pub report_delay: Time,
     /// How far a report's numbers are off at most.
     pub report_noise: Part,
 }
@@ -152,6 +154,7 @@
             idle: Fine::new(15 * SECOND),
             closes_after: Count::new(0),
             report_every: Fine::new(SECOND),
+            report_delay: Fine::new(200_000),
             report_noise: Part::new(0.05),
         }
     }
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -101,6 +101,22 @@
     assert_eq!(ends, [End::Miss, End::Pending, End::Hit(70), End::Miss, End::Miss]);
 }
 
+#[test]
+fn a_load_report_is_late_and_as_old_as_its_making() {
+    let mut kind = kind();
+    (kind.report_every, kind.report_delay) = (Fine::new(1_000 * MS), Fine::new(200 * MS));
+    kind.report_noise = Part::new(0.0);
+    let (mut server, mut done) = (cache(&kind), Vec::new());
+    for _ in 0..6 {
+        server.offer(0, read("k", 5_000e3), &mut done).unwrap();
+    }
+    let queue = |server: &mut Cache, at: Micros| server.report(at * MS).queue;
+    // Made at 1 ms, when two waited; told from 201 ms on; the next is made at 1,001 ms.
+    assert_eq!([1, 200, 201].map(|at| queue(&mut server, at)), [0.0, 0.0, 2.0]);
+    server.offer(300 * MS, read("k", 1.0), &mut done).unwrap();
+    assert_eq!([300, 1_001, 1_200, 1_201].map(|at| queue(&mut server, at)), [2.0, 2.0, 2.0, 3.0]);
+}
+
 #[test]
 fn an_origin_stops_after_too_much_for_too_long_and_tells_the_cold_share() {
     let kind = OriginKind {
--- a/crates/node/src/clients/command.rs
+++ b/crates/node/src/clients/command.rs
@@ -1,6 +1,6 @@
 //! Commands as clients word them, in RESP2.
 
-use std::{fmt, str};
+use std::str;
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -48,31 +48,24 @@
 }
 
 /// Why a whole command can't be carried out.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum CommandError {
+    #[error("unknown command")]
     Unknown,
+    #[error("wrong arguments")]
     Arguments,
+    #[error("bad or missing d")]
     Wait,
+    #[error("value over 4 MiB")]
     TooLong,
+    #[error("unknown class")]
     Class,
+    #[error("id in use")]
     InUse,
+    #[error("too many commands at once")]
     TooMany,
 }
 
-impl fmt::Display for CommandError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            CommandError::Unknown => "unknown command",
-            CommandError::Arguments => "wrong arguments",
-            CommandError::Wait => "bad or missing d",
-            CommandError::TooLong => "value over 4 MiB",
-            CommandError::Class => "unknown class",
-            CommandError::InUse => "id in use",
-            CommandError::TooMany => "too many commands at once",
-        })
-    }
-}
-
 /// How long a write says that it is, by its head.
 pub fn announced(buffer: &[u8]) -> Option<usize> {
     let head = &buffer[..buffer.len().min(ARGUMENTS + 256)];
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::{fmt, fs, io};
+use std::{fs, io};
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -43,44 +43,33 @@
 }
 
 /// Why a node cannot start.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
+    #[error("{0} is not set")]
     Missing(&'static str),
+    #[error("cannot read configuration {0}: {1}")]
     Unreadable(String, io::Error),
+    #[error("bad configuration {0}: {1}")]
     Malformed(String, serde_json::Error),
+    #[error("{0}: {1:?} is no address with a port")]
     Address(&'static str, String),
+    #[error("bad seed {0:?}: 16 hex digits at most")]
     Seed(String),
+    #[error("bad settings: {0}")]
     Settings(SetupError),
+    #[error("a limit of {0} sockets is too low: {wanted} wanted for each process", wanted = 2 * RESERVED)]
     Sockets(usize),
     /// A document of another source.
+    #[error("{0}")]
     Document(DocumentError),
     /// A key that the file in force has, and the new one lacks.
+    #[error("the key {0} is missing")]
     Lacks(String),
     /// The node is on its way to its end.
+    #[error("the node ends")]
     Ending,
 }
 
-impl Error for ConfigError {}
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ConfigError::Missing(name) => write!(f, "{name} is not set"),
-            ConfigError::Unreadable(path, error) => write!(f, "cannot read configuration {path}: {error}"),
-            ConfigError::Malformed(path, error) => write!(f, "bad configuration {path}: {error}"),
-            ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
-            ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
-            ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
-            ConfigError::Document(error) => write!(f, "{error}"),
-            ConfigError::Lacks(key) => write!(f, "the key {key} is missing"),
-            ConfigError::Ending => write!(f, "the node ends"),
-            ConfigError::Sockets(n) => {
-                write!(f, "a limit of {n} sockets is too low: {} wanted for each process", 2 * RESERVED)
-            }
-        }
-    }
-}
-
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -1,6 +1,5 @@
 //! Answers operators' calls, and keeps their orders in force.
 
-use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -29,23 +28,16 @@
 }
 
 /// Why an order is not carried out.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 enum OrderError {
+    #[error("no server {0}")]
     Unknown(String),
+    #[error("cannot keep the order: {0}")]
     NotKept(StateError),
+    #[error("the node does not answer")]
     Busy,
 }
 
-impl fmt::Display for OrderError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            OrderError::Unknown(id) => write!(f, "no server {id}"),
-            OrderError::NotKept(error) => write!(f, "cannot keep the order: {error}"),
-            OrderError::Busy => write!(f, "the node does not answer"),
-        }
-    }
-}
-
 impl Desk {
     /// Takes a server out of use or puts it back. Once this returns, the order is kept and in force.
     async fn order(&self, id: String, out: bool) -> Result<(), OrderError> {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::os::fd::{BorrowedFd, OwnedFd, RawFd};
-use std::{env, fmt, io};
+use std::{env, io};
 
 use socket2::Socket;
 use tokio::net::TcpListener;
@@ -14,33 +14,21 @@
 const PASSED: &str = "EDGE_PASSED_SOCKET";
 
 /// Why there is no listener.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum ListenError {
+    #[error("cannot listen on {0}: {1}")]
     Bind(SocketAddr, io::Error),
     /// `EDGE_PASSED_SOCKET` is no number of a descriptor.
+    #[error("EDGE_PASSED_SOCKET: {0:?} is no descriptor")]
     Number(String),
     /// The descriptor can't be taken over.
+    #[error("cannot take over descriptor {0}: {1}")]
     Passed(RawFd, io::Error),
     /// It is not a listening socket at the address where clients connect.
+    #[error("descriptor {0} is no listening TCP socket where clients connect, but at {1:?}")]
     Other(RawFd, Option<SocketAddr>),
 }
 
-impl fmt::Display for ListenError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ListenError::Bind(at, error) => write!(f, "cannot listen on {at}: {error}"),
-            ListenError::Number(text) => write!(f, "{PASSED}: {text:?} is no descriptor"),
-            ListenError::Passed(fd, error) => write!(f, "cannot take over descriptor {fd}: {error}"),
-            ListenError::Other(fd, Some(at)) => {
-                write!(f, "descriptor {fd} does not listen for clients: {at}")
-            }
-            ListenError::Other(fd, None) => write!(f, "descriptor {fd} is no listening TCP socket"),
-        }
-    }
-}
-
-impl std::error::Error for ListenError {}
-
 /// Whether the platform passes the socket on, so that a second process may run beside this one.
 pub fn is_passed() -> bool {
     env::var_os(PASSED).is_some()
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -40,29 +40,22 @@
 }
 
 /// Why a line is no call.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum CallError {
+    #[error("empty call")]
     Empty,
+    #[error("call without an end of line")]
     Unfinished,
+    #[error("call too long")]
     TooLong,
+    #[error("call is not text")]
     NotText,
+    #[error("unknown call")]
     Unknown,
+    #[error("wrong arguments")]
     Arguments,
 }
 
-impl std::fmt::Display for CallError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            CallError::Empty => "empty call",
-            CallError::Unfinished => "call without an end of line",
-            CallError::TooLong => "call too long",
-            CallError::NotText => "call is not text",
-            CallError::Unknown => "unknown call",
-            CallError::Arguments => "wrong arguments",
-        })
-    }
-}
-
 impl Call {
     /// Reads a call, its end of line included.
     fn parse(line: &[u8]) -> Result<Call, CallError> {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -4,12 +4,12 @@
 //! orders are kept is this module's alone. Today that is a small file which all processes of a node share.
 
 use std::collections::BTreeMap;
+use std::env;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
-use std::{env, fmt};
 
 use serde::{Deserialize, Serialize};
 
@@ -39,30 +39,19 @@
 }
 
 /// Why orders can't be kept or read.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum StateError {
     /// There is no `$TMPDIR` to keep them in.
+    #[error("no TMPDIR to keep orders in")]
     NoPlace,
+    #[error("{path}: {1}", path = .0.display())]
     Io(PathBuf, io::Error),
+    #[error("{path} is damaged: {1}", path = .0.display())]
     Damaged(PathBuf, serde_json::Error),
+    #[error("{path} is of version {1}, not {VERSION}", path = .0.display())]
     Version(PathBuf, u32),
 }
 
-impl fmt::Display for StateError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            StateError::NoPlace => write!(f, "no TMPDIR to keep orders in"),
-            StateError::Io(path, error) => write!(f, "{}: {error}", path.display()),
-            StateError::Damaged(path, error) => write!(f, "{} is damaged: {error}", path.display()),
-            StateError::Version(path, found) => {
-                write!(f, "{} is of version {found}, not {VERSION}", path.display())
-            }
-        }
-    }
-}
-
-impl std::error::Error for StateError {}
-
 impl StateError {
     /// Whether what is kept can't be read and never will be.
     fn is_lasting(&self) -> bool {
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -5,7 +5,6 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
-use std::fmt;
 use std::io::{self, BufRead, Write};
 
 use serde::de::IgnoredAny;
@@ -15,7 +14,8 @@
 use stonefold_balancer::*;
 
 /// Why the wire could not be followed, and where.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
+#[error("input line {line}: {what}")]
 pub struct WireError {
     /// The line of input, from 1.
     pub line: u64,
@@ -23,14 +23,6 @@
     pub what: String,
 }
 
-impl fmt::Display for WireError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "input line {}: {}", self.line, self.what)
-    }
-}
-
-impl std::error::Error for WireError {}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 enum Message<'a> {
