--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -19,7 +19,7 @@
 mod places;
 
 /// Caches in a key's candidate set.
-const SET: usize = 2;
+const SET: usize = 3;
 /// Requests in flight that one rank is worth: below 1, to break ties only.
 const AFFINITY: f64 = 0.95;
 /// A cache this many times slower than its fellows has no idle room.
