Keep configuration and state in a replicated store: its rules, disk and engine

Need: a restarted node knows nothing but its last list, bans live in one machine's file, and nothing says which configuration all nodes run.

Pure modules say what is kept and within which bounds (state), which list and configuration may be acted on (freshness) and who belongs (members); disk and machine give it to the engine; replica is the running whole over any transport. Nothing uses it yet, so a node pays nothing for it.

--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,15 @@
+//! Configuration and state that outlive every restart, in a small store that a node's siblings keep together.
+//!
+//! Pure: [`state`] is what is kept, [`freshness`] which of it may be acted on, [`members`] who belongs. [`disk`] and
+//! [`machine`] give it to the consensus engine, [`replica`] is the running whole, over any [`replica::Transport`].
+#![warn(missing_docs)]
+
+pub mod codec;
+pub mod disk;
+pub mod engine;
+pub mod freshness;
+pub mod machine;
+pub mod members;
+pub mod message;
+pub mod replica;
+pub mod state;
--- /dev/null
+++ b/crates/store/tests/rules.rs
@@ -0,0 +1,274 @@
+//! The pure parts: what is kept, who belongs, what may be acted on.
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use stateright::{Checker, Model, Property};
+use stonefold_store::freshness::{Freshness, Verdict};
+use stonefold_store::members::*;
+use stonefold_store::message::Party;
+use stonefold_store::state::*;
+
+// ---- freshness, explored whole ----
+
+/// A node between a store and discovery, which both may be late: every order of events up to a few versions.
+struct Explored;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    node: Freshness,
+    now: u64,
+    /// What is committed, and up to where this node's replica has applied; one list for each entry.
+    committed: u64,
+    applied: u64,
+    /// A question that is out: when it was asked, and what was committed then.
+    asked: Option<(u64, u64)>,
+    /// Up to where the answers of this start told that all was committed.
+    told: u64,
+    /// What the node acts on, and whether it ever went back or behind what it knew.
+    acted: u64,
+    went_back: bool,
+    behind: bool,
+    /// At its confirmation it had not applied what was committed when the question was asked.
+    early: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Commit,
+    Apply,
+    Ask,
+    Answer,
+    Act(u64),
+    Wait,
+    Restart,
+}
+
+const VERSIONS: u64 = 3;
+const BOUND: u64 = 2;
+
+impl Model for Explored {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let node = Freshness::new(0, BOUND, 0);
+        let (went_back, behind, early) = (false, false, false);
+        vec![World {
+            node,
+            now: 0,
+            committed: 0,
+            applied: 0,
+            asked: None,
+            told: 0,
+            acted: 0,
+            went_back,
+            behind,
+            early,
+        }]
+    }
+
+    fn actions(&self, _: &World, actions: &mut Vec<Step>) {
+        actions.extend([Step::Commit, Step::Apply, Step::Ask, Step::Answer, Step::Wait, Step::Restart]);
+        actions.extend((0..=VERSIONS).map(Step::Act));
+    }
+
+    fn next_state(&self, last: &World, action: Step) -> Option<World> {
+        let mut next = last.clone();
+        match action {
+            Step::Commit if next.committed < VERSIONS => next.committed += 1,
+            Step::Apply if next.applied < next.committed => {
+                next.applied += 1;
+                next.node.list_committed(next.applied);
+                let before = next.node.is_confirmed();
+                next.node.applied(next.applied);
+                next.early |= !before && next.node.is_confirmed() && next.applied < next.told;
+            }
+            Step::Ask if next.asked.is_none() => next.asked = Some((next.now, next.committed)),
+            Step::Answer => {
+                let (at, index) = next.asked?;
+                let before = next.node.is_confirmed();
+                next.told = next.told.max(index);
+                next.node.answered(at, index);
+                next.node.applied(next.applied);
+                next.early |= !before && next.node.is_confirmed() && next.applied < next.told;
+                next.asked = None;
+            }
+            Step::Act(version) => {
+                if matches!(next.node.list(version), Verdict::Act) {
+                    next.went_back |= version < next.acted;
+                    next.behind |= version < next.applied;
+                    next.acted = version;
+                }
+            }
+            Step::Wait if next.now < BOUND => next.now += 1,
+            Step::Restart if next.now > 0 => {
+                // What its disk holds, it knows again.
+                next.node = Freshness::new(next.now, BOUND, next.applied);
+                (next.acted, next.asked, next.told) = (0, None, 0);
+            }
+            _ => return None,
+        }
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("acts on nothing older than before", |_, world: &World| !world.went_back),
+            Property::always("acts on nothing older than it knows committed", |_, w: &World| !w.behind),
+            Property::always("is confirmed only with all that was committed", |_, w: &World| !w.early),
+            Property::sometimes("is ready without the others", |_, w: &World| {
+                w.node.ready(w.now) && !w.node.is_confirmed()
+            }),
+            Property::sometimes("is confirmed by them", |_, w: &World| w.node.is_confirmed()),
+        ]
+    }
+}
+
+#[test]
+fn no_order_of_events_makes_a_node_act_on_what_is_old() {
+    let checker = Explored.checker().threads(2).spawn_bfs().join();
+    println!(
+        "{} states, {} unique, depth {}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth()
+    );
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 1_000);
+}
+
+#[test]
+fn a_clock_that_jumps_back_makes_nothing_fresh_or_overdue() {
+    let mut node = Freshness::new(1_000, 500, 7);
+    assert!(!node.ready(999) && !node.ready(1_499) && node.ready(1_500));
+    assert_eq!((node.stale_for(0), node.stale_for(1_700)), (0, 700));
+    assert_eq!(node.list(6), Verdict::Old { known: 7 });
+    assert_eq!((node.list(9), node.list(9)), (Verdict::Act, Verdict::Same), "discovery may be ahead");
+    assert_eq!((node.config(4), node.config(3)), (Verdict::Act, Verdict::Old { known: 4 }));
+    node.answered(1_600, 12);
+    node.applied(11);
+    assert!(!node.is_confirmed());
+    node.applied(12);
+    assert!(node.is_confirmed() && node.stale_for(1_700) == 100);
+}
+
+// ---- members ----
+
+fn three() -> Members {
+    let member = |id: u64| (id, Member { addr: format!("127.0.0.1:{id}"), votes: id < 4 });
+    (1..=4).map(member).collect()
+}
+
+#[test]
+fn strangers_copies_and_members_that_were_removed_are_not_heard() {
+    let said = |cluster, party, addr| admit(&Hello { cluster, party, addr }, 7, 1, &three());
+    let member = |id, addr| said(7, Party::Member(id), addr);
+    assert_eq!(member(2, "127.0.0.1:2"), Ok(()));
+    assert_eq!(said(7, Party::Client, ""), Ok(()));
+    assert!(matches!(said(8, Party::Client, ""), Err(MembersError::Stranger { theirs: 8, ours: 7 })));
+    assert!(matches!(member(1, "127.0.0.1:1"), Err(MembersError::Myself(1))));
+    assert!(matches!(member(2, "127.0.0.1:9"), Err(MembersError::Elsewhere { member: 2, .. })));
+    assert!(matches!(member(5, "127.0.0.1:5"), Err(MembersError::NotMember(5))));
+    let hello = Hello { cluster: 7, party: Party::Member(2), addr: "anywhere" };
+    assert_eq!(admit(&hello, 7, 1, &Members::new()), Ok(()), "a new one hears whoever leads");
+}
+
+#[test]
+fn nothing_is_removed_that_leaves_too_few_and_no_id_is_given_twice() {
+    let (members, near) = (three(), |id| id != 3);
+    assert_eq!(may_remove(3, &members, near, false), Ok(()), "a dead one can go");
+    let unsafe_ = Err(MembersError::Unsafe { voters: 2, reachable: 1, needed: 2 });
+    assert_eq!(may_remove(2, &members, near, false), unsafe_);
+    assert_eq!(may_remove(2, &members, near, true), Ok(()));
+    assert_eq!(may_remove(4, &members, near, false), Ok(()), "a learner");
+    assert_eq!(may_remove(9, &members, near, true), Err(MembersError::NotMember(9)));
+    let one: Members = three().into_iter().take(1).collect();
+    assert_eq!(may_remove(1, &one, |_| true, true), Err(MembersError::Last(1)));
+    let add = |id, addr| may_add(id, addr, &members, &BTreeSet::from([9]));
+    assert_eq!(add(4, "127.0.0.1:4"), Ok(()), "a learner that had not caught up");
+    assert_eq!(add(2, "127.0.0.1:2"), Err(MembersError::Known(2)));
+    assert_eq!(add(9, "127.0.0.1:9"), Err(MembersError::Removed(9)));
+    assert!(matches!(add(5, "127.0.0.1:2"), Err(MembersError::Taken { member: 2, .. })));
+}
+
+// ---- what is kept ----
+
+fn document(name: u8, size: usize, after: Option<u64>) -> Change {
+    let (name, text) = (format!("d{name}"), "x".repeat(size));
+    Change::Document { name, text, author: "me".into(), at_ms: 0, after }
+}
+
+fn changes() -> impl Strategy<Value = Change> {
+    let list = (0u64..30, 0u64..9).prop_map(|(version, at)| Change::List {
+        version,
+        text: "[]".into(),
+        learned_by: 1,
+        started: vec![("s".into(), at)],
+    });
+    prop_oneof![
+        (0u8..4, 0..DOCUMENT + 2, proptest::option::of(0u64..40)).prop_map(|(n, s, a)| document(n, s, a)),
+        list,
+        (0u8..3, any::<bool>(), 0u64..9).prop_map(|(server, out, since_ms)| Change::Order {
+            server: server.to_string(),
+            order: Order { out, since_ms }
+        }),
+        (0u64..9).prop_map(|before_ms| Change::Forget { before_ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn all_stays_within_its_bounds_goes_forward_and_is_done_once(all in proptest::collection::vec((0u64..3, changes()), 1..80)) {
+        let (mut state, mut twin) = (State::default(), State::default());
+        let mut sequences = [0u64; 3];
+        for (index, (client, change)) in (1u64..).zip(all) {
+            sequences[client as usize] += 1;
+            let sequence = sequences[client as usize];
+            let before = state.clone();
+            let reply = state.apply(index, Proposal { client, sequence, change: change.clone() });
+            prop_assert_eq!(&reply, &twin.apply(index, Proposal { client, sequence, change: change.clone() }));
+            // Proposed again: the same answer, and nothing changes.
+            let done = state.clone();
+            prop_assert_eq!(&reply, &state.apply(index + 1_000, Proposal { client, sequence, change: change.clone() }));
+            prop_assert_eq!(&state, &done);
+            let version = |state: &State| state.list().map_or(0, |list| list.version);
+            prop_assert!(version(&state) >= version(&before) && state.started("s") >= before.started("s"));
+            if let (Change::Document { name, after: Some(after), .. }, Reply::Done(_)) = (&change, &reply) {
+                prop_assert_eq!(before.document(name).map_or(0, |latest| latest.revision), *after);
+            }
+            let texts: usize = state.names().flat_map(|name| state.history(name)).map(|r| r.text.len()).sum();
+            prop_assert!(texts <= TEXTS && state.names().all(|name| state.history(name).count() <= HISTORY));
+        }
+        prop_assert_eq!(state, twin);
+    }
+}
+
+#[test]
+fn what_is_too_much_is_refused_with_the_bound_and_changes_nothing() {
+    let mut state = State::default();
+    let mut sequence = 0;
+    let mut propose = |state: &mut State, change| {
+        sequence += 1;
+        state.apply(sequence, Proposal { client: 1, sequence, change })
+    };
+    let order = |server: String| Change::Order { server, order: Order { out: true, since_ms: 0 } };
+    let too_long = propose(&mut state, order("s".repeat(NAME + 1)));
+    assert!(matches!(too_long, Reply::Refused(Refusal::TooLong { most: 256, .. })), "{too_long:?}");
+    for name in 0..(TEXTS / DOCUMENT) as u8 {
+        assert!(matches!(propose(&mut state, document(name, DOCUMENT, Some(0))), Reply::Done(_)));
+    }
+    let full = propose(&mut state, document(99, 1, None));
+    assert!(matches!(full, Reply::Refused(Refusal::TooMany { .. })), "{full:?}");
+    assert!(
+        matches!(propose(&mut state, document(0, 1, None)), Reply::Done(_)),
+        "a smaller one in its place"
+    );
+    assert_eq!(state.names().count(), TEXTS / DOCUMENT);
+    // An earlier proposal of a client that has gone on is not carried out late.
+    let late = state.apply(900, Proposal { client: 1, sequence: 1, change: order("late".into()) });
+    assert!(matches!(late, Reply::Refused(Refusal::Superseded { .. })), "{late:?}");
+    assert!(state.orders().is_empty());
+}
--- /dev/null
+++ b/crates/store/tests/storage.rs
@@ -0,0 +1,128 @@
+//! The disk: the engine's own test suite, other versions, damage, and two at one file.
+
+#[path = "sim/platter.rs"]
+mod platter;
+
+use openraft::entry::FromAppData;
+use openraft::storage::{RaftLogStorage, RaftLogStorageExt, RaftStateMachine};
+use openraft::testing::{StoreBuilder, Suite};
+use openraft::{CommittedLeaderId, RaftSnapshotBuilder, Vote};
+use platter::Platter;
+use stonefold_store::codec::{CodecError, decode, encode, seal, unseal};
+use stonefold_store::disk::{Disk, DiskError, Identity};
+use stonefold_store::engine::{Entry, LogId, StorageError, Types};
+use stonefold_store::machine::{Applied, Machine, open_snapshot};
+use stonefold_store::state::{Change, Order, Proposal};
+use tokio::sync::watch;
+
+const MINE: Identity = Identity { cluster: 7, member: 1 };
+
+struct Fresh;
+
+impl StoreBuilder<Types, Disk, Machine, ()> for Fresh {
+    async fn build(&self) -> Result<((), Disk, Machine), StorageError> {
+        let disk = Disk::on(Platter::default(), MINE).unwrap();
+        Ok(((), disk.clone(), Machine::new(disk, watch::channel(0).0).unwrap()))
+    }
+}
+
+#[test]
+fn it_does_what_the_engine_expects_of_a_disk() {
+    Suite::test_all(Fresh).unwrap();
+}
+
+fn entry(index: u64) -> Entry {
+    let order = Order { out: true, since_ms: index };
+    let change = Change::Order { server: format!("s-{index}"), order };
+    let mut entry = Entry::from_app_data(Proposal { client: 1, sequence: index, change });
+    entry.log_id = LogId::new(CommittedLeaderId::new(1, 1), index);
+    entry
+}
+
+#[tokio::test]
+async fn whatever_a_power_cut_tears_what_was_answered_for_is_there() {
+    for seed in 0..60 {
+        fastrand::seed(seed);
+        let platter = Platter::default();
+        let mut disk = Disk::on(platter.clone(), MINE).unwrap();
+        disk.save_vote(&Vote::new(3, 2)).await.unwrap();
+        disk.blocking_append((1..=5).map(entry)).await.unwrap();
+        // Not synced yet when the power goes, in whatever part it has come to the disk.
+        disk.save_committed(Some(entry(5).log_id)).await.unwrap();
+        let mut again = Disk::on(platter.after_power_cut(), MINE).unwrap();
+        assert_eq!(again.entries(..).unwrap(), (1..=5).map(entry).collect::<Vec<_>>(), "seed {seed}");
+        assert_eq!(again.read_vote().await.unwrap(), Some(Vote::new(3, 2)));
+    }
+}
+
+#[tokio::test]
+async fn a_leader_that_restarts_has_to_be_elected_anew() {
+    let mut disk = Disk::on(Platter::default(), MINE).unwrap();
+    for (leader, leads_on) in [(1, false), (2, true)] {
+        disk.save_vote(&Vote::new_committed(5, leader)).await.unwrap();
+        assert_eq!(disk.read_vote().await.unwrap().unwrap().committed, leads_on);
+    }
+}
+
+#[tokio::test]
+async fn a_full_disk_fails_changes_with_its_reason_and_keeps_what_it_has() {
+    let platter = Platter::default();
+    let mut disk = Disk::on(platter.clone(), MINE).unwrap();
+    disk.blocking_append([entry(1)]).await.unwrap();
+    platter.full.store(true, std::sync::atomic::Ordering::Relaxed);
+    let error = disk.blocking_append([entry(2)]).await.unwrap_err();
+    assert!(error.to_string().contains("storage"), "{error}");
+    let again = Disk::on(platter.after_power_cut(), MINE).unwrap();
+    assert_eq!(again.entries(..).unwrap(), [entry(1)]);
+}
+
+#[test]
+fn another_version_damage_and_what_is_too_much_are_told_and_never_guessed() {
+    let bytes = encode("a log entry", &entry(3)).unwrap();
+    assert_eq!(decode::<Entry>("a log entry", &bytes).unwrap(), entry(3));
+    let mut newer = bytes.clone();
+    newer[0] = 9;
+    let error = decode::<Entry>("a log entry", &newer).unwrap_err();
+    assert_eq!(error, CodecError::Version { what: "a log entry", found: 9 });
+    assert!(error.to_string().contains("version 9"), "{error}");
+    // Cut anywhere, or with more behind it.
+    assert!((0..bytes.len()).all(|end| decode::<Entry>("a log entry", &bytes[..end]).is_err()));
+    assert!(decode::<Entry>("a log entry", &[&bytes[..], &[0]].concat()).is_err());
+    // A kind of change that this version doesn't know.
+    let unknown = encode("a change", &(77u8, 1u8)).unwrap();
+    assert!(matches!(decode::<Change>("a change", &unknown), Err(CodecError::Damaged(..))));
+}
+
+#[tokio::test]
+async fn a_snapshot_is_taken_whole_or_not_at_all() {
+    let (mut all, mut new) = ([Fresh.build().await.unwrap().2], Fresh.build().await.unwrap().2);
+    all[0].apply((1..=4).map(entry)).await.unwrap();
+    let snapshot = all[0].get_snapshot_builder().await.build_snapshot().await.unwrap();
+    let sealed = snapshot.snapshot.get_ref().clone();
+    for place in 0..sealed.len() {
+        let (cut, mut changed) = (sealed[..place].to_vec(), sealed.clone());
+        changed[place] ^= 1;
+        for bad in [cut, changed] {
+            assert!(open_snapshot(&bad).is_err());
+        }
+    }
+    let cut = Box::new(std::io::Cursor::new(sealed[..sealed.len() - 1].to_vec()));
+    assert!(new.install_snapshot(&snapshot.meta, cut).await.is_err());
+    assert_eq!(new.applied_state().await.unwrap().0, None, "nothing of it");
+    new.install_snapshot(&snapshot.meta, snapshot.snapshot).await.unwrap();
+    assert_eq!(new.shared().read().state, all[0].shared().read().state);
+    assert_eq!(unseal::<Applied>("s", &seal("s", &Applied::default()).unwrap()).unwrap().last, None);
+}
+
+#[test]
+fn a_folder_has_one_store_for_one_process_and_says_whose_it_is() {
+    let dir = tempfile::tempdir().unwrap();
+    assert!(matches!(Disk::open(dir.path()), Err(DiskError::Missing(_))));
+    let disk = Disk::create(dir.path(), MINE).unwrap();
+    let busy = Disk::open(dir.path()).unwrap_err();
+    assert!(busy.to_string().contains("already open"), "{busy}");
+    drop(disk);
+    let error = Disk::create(dir.path(), Identity { cluster: 8, member: 2 }).unwrap_err();
+    assert!(matches!(error, DiskError::Exists { member: 1, cluster: 7, .. }), "{error}");
+    assert_eq!(Disk::open(dir.path()).unwrap().identity(), MINE);
+}
