Let the model's clients come again after a refusal, and pace the emulator's proof

Change: `[retry]` in a site: so many tries, after what the refusal said and a pause with full jitter that doubles; the load counts a request once, by its last answer, and how often it was asked again. The example `pause` is paced by a thread of its own.

The test of clients that come again was first red by its own stand-in, whose value no request had asked for.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -286,6 +286,11 @@
         answer
     }
 
+    /// Where clients call.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Where operators call.
     pub fn operators(&self) -> SocketAddr {
         self.operator.unwrap()
--- a/crates/emulator/examples/pause.rs
+++ b/crates/emulator/examples/pause.rs
@@ -1,6 +1,9 @@
 //! Whether an injected service time is seen as it was injected: 100 ms of work, 2,000 requests a second, open loop.
 //!
 //!     cargo run --release -p stonefold-emulator --example pause
+//!
+//! One thread paces all requests: it sleeps to some 60 us, where the runtime's timer would be up to 1 ms late and be
+//! seen as the emulator's time.
 
 use std::time::{Duration, Instant};
 
@@ -10,7 +13,7 @@
 use stonefold_model::site::Site;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep_until;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 const SITE: &str = include_str!("../../../deploy/sites/twelve.toml");
 /// Requests a second, and connections that take them in turn: each is free again before its next.
@@ -35,15 +38,25 @@
     }
     let emulator = Emulator::start(site, Options { faults: false, ..Options::default() }).await?;
     let cache = emulator.known(0)["servers"][0]["addr"].as_str().ok_or("no cache")?.to_owned();
-    let start = Instant::now() + Duration::from_millis(500);
-    let mut runs = Vec::new();
+    let (mut runs, mut turns) = (Vec::new(), Vec::new());
     for n in 0..CONNECTIONS {
-        runs.push(tokio::spawn(connection(TcpStream::connect(&cache).await?, n, start)));
+        let (turn, due) = unbounded_channel();
+        turns.push(turn);
+        runs.push(tokio::spawn(connection(TcpStream::connect(&cache).await?, n, due)));
     }
+    let pacer = std::thread::spawn(move || {
+        let start = Instant::now() + Duration::from_millis(500);
+        for n in 0..RATE * LASTS.as_secs() {
+            let at = start + Duration::from_micros(n * 1_000_000 / RATE);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            let _ = turns[(n % CONNECTIONS) as usize].send(at); // its connection has failed, and says so
+        }
+    });
     let mut all = Histogram::<u64>::new(3)?;
     for run in runs {
         all.add(run.await??)?;
     }
+    pacer.join().map_err(|_| "the pacer failed")?;
     let ms = |quantile: f64| all.value_at_quantile(quantile) as f64 / 1e3;
     println!(
         "{} answers: p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
@@ -55,17 +68,18 @@
     Ok(())
 }
 
-/// Asks at its own times, and counts from when it meant to.
-async fn connection(mut stream: TcpStream, number: u64, start: Instant) -> Result<Histogram<u64>, Failure> {
+/// Asks when it is told, and counts from when it was meant to.
+async fn connection(
+    mut stream: TcpStream,
+    number: u64,
+    mut due: UnboundedReceiver<Instant>,
+) -> Result<Histogram<u64>, Failure> {
     stream.set_nodelay(true)?;
     let mut seen = Histogram::<u64>::new(3)?;
     let mut buffer = vec![0; 64 << 10];
-    for turn in 0.. {
-        let at = start + Duration::from_micros((turn * CONNECTIONS + number) * 1_000_000 / RATE);
-        if at >= start + LASTS {
-            return Ok(seen);
-        }
-        sleep_until(at.into()).await;
+    let mut turn = 0;
+    while let Some(at) = due.recv().await {
+        turn += 1;
         let id = format!("{number:08x}{turn:08x}");
         let words = ["CACHE.GET", "record:1", &id, "c=record-lookup,d=5000"];
         let bulk: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -11,7 +11,7 @@
 use redis_protocol::resp2::types::BytesFrame;
 use serde::Serialize;
 use stonefold_config::Effect;
-use stonefold_model::{Answer, Ask, Clients, Micros};
+use stonefold_model::{Answer, Ask, Clients, Micros, Retries};
 use stonefold_proto::resp::{next_frame, put_command};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -42,6 +42,8 @@
     pub failed: u64,
     /// Not sent, since too many were out.
     pub not_sent: u64,
+    /// Asked once more after a refusal; the request counts once, by its last answer.
+    pub again: u64,
     /// Of those served: from the intended start to the last byte, in microseconds.
     pub latency: Histogram<u64>,
 }
@@ -50,7 +52,7 @@
     fn default() -> Figures {
         // These bounds are valid: 1 to a minute, three digits.
         let latency = Histogram::new_with_bounds(1, LONGEST, 3).expect("valid bounds");
-        Figures { served: 0, refused: 0, failed: 0, not_sent: 0, latency }
+        Figures { served: 0, refused: 0, failed: 0, not_sent: 0, again: 0, latency }
     }
 }
 
@@ -67,6 +69,8 @@
     pub failed: u64,
     /// Not sent, since too many were out: the load was the bottleneck.
     pub not_sent: u64,
+    /// Asked once more after a refusal.
+    pub again: u64,
     /// Half of those served took no longer, in milliseconds.
     pub p50_ms: f64,
     /// Of a hundred of those served 99 took no longer, in milliseconds.
@@ -85,6 +89,7 @@
             refused: self.refused,
             failed: self.failed,
             not_sent: self.not_sent,
+            again: self.again,
             p50_ms: at(0.5),
             p99_ms: at(0.99),
             max_ms: self.latency.max() as f64 / 1e3,
@@ -110,15 +115,20 @@
     /// Idle connections to each node, the most recently used last.
     idle: Vec<Mutex<VecDeque<TcpStream>>>,
     figures: Mutex<(Figures, Figures)>,
+    retries: Mutex<Retries>,
     out: Semaphore,
 }
 
+/// A try's number is its request's, with how often it was asked before from this bit on.
+const TRIES: u32 = 48;
+
 impl Load {
     /// A load on these nodes, from the clients of an emulator's site.
     pub fn new(emulator: &Emulator, nodes: Vec<SocketAddr>) -> Arc<Load> {
         let idle = nodes.iter().map(|_| Mutex::default()).collect();
         let (world, figures) = (emulator.world.clone(), Mutex::default());
-        Arc::new(Load { world, nodes, idle, figures, out: Semaphore::new(MOST_OUT) })
+        let retries = Mutex::new(Retries::new(world.site.retry.clone(), world.site.seed.get() as u64));
+        Arc::new(Load { world, nodes, idle, figures, retries, out: Semaphore::new(MOST_OUT) })
     }
 
     /// The figures from the start, and those since this was last asked.
@@ -169,40 +179,56 @@
             true => ask.number as usize % self.nodes.len(),
             false => there[ask.number as usize % there.len()],
         };
-        let answer = self.exchange(ask, node, at).await;
+        let until = at + ask.deadline;
+        let mut said = self.exchange(ask, ask.number, node, until).await;
+        let mut tries = 1;
+        while said.answer == Answer::Refused
+            && let Some(again) = self.again(tries, said.wait, until)
+        {
+            sleep_until(self.world.instant(again)).await;
+            // Another try stands by itself, with a final answer of its own.
+            said = self.exchange(ask, ask.number | tries << TRIES, node, until).await;
+            tries += 1;
+        }
         let now = self.world.now();
-        let mut figures = locked(&self.figures);
         let took = now.saturating_sub(at);
-        figures.0.add(answer, took);
-        figures.1.add(answer, took);
+        let figures = &mut *locked(&self.figures);
+        for figures in [&mut figures.0, &mut figures.1] {
+            figures.add(said.answer, took);
+            figures.again += tries - 1;
+        }
+    }
+
+    /// When a client that was refused comes again, if it does.
+    fn again(&self, tries: u64, wait: Option<Micros>, until: Micros) -> Option<Micros> {
+        locked(&self.retries).again(self.world.now(), tries, wait, until)
     }
 
     /// One request; the judge is told of it once it has been sent whole. A kept connection that the node closes
     /// may cross a request which the node has not read: that is sent once more, on a new connection.
-    async fn exchange(&self, ask: &Ask, node: usize, at: Micros) -> Answer {
-        let id = format!("{:016x}", ask.number);
+    async fn exchange(&self, ask: &Ask, number: u64, node: usize, until: Micros) -> Said {
+        let id = format!("{number:016x}");
         let key = request::key(ask.key);
-        let command = self.command(ask, &id, &key);
-        let until = at + ask.deadline;
+        let command = self.command(ask, &id, &key, until);
         if let Some(mut kept) = self.kept(node)
             && kept.write_all(&command).await.is_ok()
         {
             match self.answer(&mut kept, until).await {
                 Heard::Closed => {} // before anything of an answer
                 heard => {
-                    self.world.judge().asked(ask.number, until);
-                    return self.judged(heard, ask.number, (&id, &key), node, kept);
+                    self.world.judge().asked(number, until);
+                    return self.judged(heard, number, (&id, &key), node, kept);
                 }
             }
         }
-        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Answer::Failed };
+        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Said::failed() };
         let _ = fresh.set_nodelay(true); // slower without, no worse
         if fresh.write_all(&command).await.is_err() {
-            return Answer::Failed;
+            return Said::failed();
         }
-        self.world.judge().asked(ask.number, until);
+        self.world.judge().asked(number, until);
         let heard = self.answer(&mut fresh, until).await;
-        self.judged(heard, ask.number, (&id, &key), node, fresh)
+        self.judged(heard, number, (&id, &key), node, fresh)
     }
 
     /// An idle connection on which nothing has come.
@@ -222,37 +248,38 @@
         timeout(wait, read(stream)).await.unwrap_or(Heard::Nothing)
     }
 
-    fn judged(&self, heard: Heard, request: u64, of: (&str, &str), node: usize, stream: TcpStream) -> Answer {
+    fn judged(&self, heard: Heard, request: u64, of: (&str, &str), node: usize, stream: TcpStream) -> Said {
         let mut judge = self.world.judge();
         match heard {
             Heard::Answer { frame, more } => {
-                let answer = judged(&frame, of.0, of.1);
-                judge.answered(self.world.now(), request, answer);
+                let said = judged(&frame, of.0, of.1);
+                judge.answered(self.world.now(), request, said.answer);
                 match more {
                     true => judge.unasked(),
                     false => locked(&self.idle[node]).push_back(stream),
                 }
-                answer
+                said
             }
             Heard::Closed | Heard::Broken => {
                 judge.abandoned(request);
-                Answer::Failed
+                Said::failed()
             }
             Heard::Nothing => {
                 judge.close(self.world.now());
-                Answer::Failed
+                Said::failed()
             }
         }
     }
 
-    fn command(&self, ask: &Ask, id: &str, key: &str) -> BytesMut {
+    fn command(&self, ask: &Ask, id: &str, key: &str, until: Micros) -> BytesMut {
         let class = &self.world.site.classes[ask.class];
-        let mut facts = format!("c={},d={}", class.name, ask.deadline / 1000);
+        let left = until.saturating_sub(self.world.now()).min(ask.deadline).div_ceil(1000);
+        let mut facts = format!("c={},d={left}", class.name);
         if let Some(tenant) = ask.tenant.and_then(|tenant| self.world.site.tenants.get(tenant)) {
             facts += &format!(",t={}", tenant.name);
         }
         if class.effect == Effect::Keyed {
-            facts += &format!(",k={id}");
+            facts += &format!(",k={:016x}", ask.number);
         }
         let value = class.write.then(|| "a".repeat(64));
         let name = if class.write { "CACHE.SET" } else { "CACHE.GET" };
@@ -263,13 +290,31 @@
     }
 }
 
-fn judged(frame: &BytesFrame, id: &str, key: &str) -> Answer {
-    match frame {
+/// What a node said, and of a refusal when to come again.
+struct Said {
+    answer: Answer,
+    wait: Option<Micros>,
+}
+
+impl Said {
+    fn failed() -> Said {
+        Said { answer: Answer::Failed, wait: None }
+    }
+}
+
+fn judged(frame: &BytesFrame, id: &str, key: &str) -> Said {
+    let refusal = match frame {
+        BytesFrame::Error(text) => text.strip_prefix("BUSY"),
+        _ => None,
+    };
+    let answer = match frame {
         BytesFrame::BulkString(value) if is_for(value, id.as_bytes(), key) => Answer::Served,
         BytesFrame::BulkString(_) => Answer::Wrong,
-        BytesFrame::Error(text) if text.starts_with("BUSY") => Answer::Refused,
+        _ if refusal.is_some() => Answer::Refused,
         _ => Answer::Failed,
-    }
+    };
+    let wait = refusal.and_then(|ms| ms.trim().parse::<u64>().ok());
+    Said { answer, wait: wait.map(|ms| ms.saturating_mul(1_000)) }
 }
 
 /// What came on a connection.
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -386,6 +386,33 @@
     assert!(load.figures().0.refused > 0 && emulator.verdict().refused >= load.figures().0.refused);
 }
 
+#[tokio::test]
+async fn a_refused_client_comes_again_as_late_as_it_was_told_and_counts_once() {
+    let retry = "rate = 200\n[retry]\ntries = 3\npause = \"1ms\"";
+    let emulator = emulator(&[("rate = 200", retry)]).await;
+    // A try's number has the tries before it in its upper half.
+    let second = bad_node(|text| {
+        let id = text.lines().nth(6)?;
+        let key = text.lines().nth(4)?;
+        let value = format!("{id}:{key}:");
+        Some(if id.starts_with("0002") {
+            format!("${}\r\n{value}\r\n", value.len())
+        } else {
+            "-BUSY 5\r\n".into()
+        })
+    })
+    .await;
+    let load = Load::new(&emulator, vec![second]);
+    load.clone().run(200.0, Duration::from_millis(200)).await;
+    let all = load.figures().0;
+    assert!(all.served > 10 && all.refused + all.failed == 0, "{:?}", all.summary());
+    assert_eq!(all.again, 2 * all.served);
+    assert!(all.latency.min() >= 10_000, "twice told to wait for 5 ms: {} us", all.latency.min());
+    // Each try had a final answer of its own.
+    let verdict = emulator.verdict();
+    assert_eq!((verdict.requests, verdict.rules_broken()), (3 * all.served, 0), "{verdict:?}");
+}
+
 #[tokio::test]
 async fn the_control_tells_takes_faults_and_says_what_it_cannot_use() {
     let emulator = emulator(&[]).await;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 mod network;
 mod origin;
 mod random;
+mod retry;
 pub mod site;
 mod store;
 mod window;
@@ -25,6 +26,7 @@
 pub use network::Network;
 pub use origin::{Fetch, Fetched, Origin, Spell};
 pub use random::Random;
+pub use retry::Retries;
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -47,6 +47,9 @@
     /// Tenants and what they send.
     #[serde(rename = "tenant", default)]
     pub tenants: Vec<TenantKind>,
+    /// How clients come again after a refusal.
+    #[serde(default)]
+    pub retry: RetryKind,
     /// What a node must keep to.
     #[serde(default)]
     pub rules: Rules,
@@ -326,6 +329,25 @@
     Positive::new(1.0)
 }
 
+/// How clients come again after a refusal, within their deadline: after what the refusal said, and a pause drawn
+/// from 0 to `pause`, which doubles with each try up to `longest`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetryKind {
+    /// How often a client asks at most; 1 for no retry.
+    pub tries: Count<1, 100>,
+    /// The range of the first pause.
+    pub pause: Fine<0, { 60 * SECOND }>,
+    /// No pause's range is longer.
+    pub longest: Fine<0, { 60 * SECOND }>,
+}
+
+impl Default for RetryKind {
+    fn default() -> Self {
+        RetryKind { tries: Count::new(1), pause: Fine::new(50_000), longest: Fine::new(1_000_000) }
+    }
+}
+
 /// What a node must keep to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
