--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,4 +6,5 @@
 pub mod emulate;
 pub mod node;
 pub mod request;
+pub mod store;
 pub mod texts;
--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -1,12 +1,17 @@
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::Value;
-use stonefold_config::{Config as Tree, Layers, LogFormat, load};
+use stonefold_config::{Config as Tree, Layers, LogFormat, Store, load};
 use stonefold_node::config::{Config, Document, DocumentError, Source};
+use stonefold_node::shared::Shared;
 use stonefold_observe::{Format, Logging, Options};
+use stonefold_store::daemon::{self, Settings};
 
 use crate::args::NodeArgs;
 use crate::failure::Failure;
+use crate::shared::{CONFIG, Stored};
 
 /// Our own file, with the layers over it.
 struct File {
@@ -14,35 +19,55 @@
     flags: Vec<String>,
     /// Where the file states no seed: the same for the life of the process.
     seed: u64,
+    /// What it keeps together with other nodes, if its file names that.
+    stored: Option<Arc<Stored>>,
 }
 
 impl Document for File {
     fn read(&self) -> Result<Value, DocumentError> {
-        let layers = Layers::new(Some(self.path.clone()), self.flags.clone());
+        let shared = self.stored.as_ref().and_then(|stored| stored.config());
+        let shared = shared.map(|(revision, text)| (format!("store:{CONFIG}@{revision}"), text));
+        let layers = Layers { shared, ..Layers::new(Some(self.path.clone()), self.flags.clone()) };
         Ok(load::<Tree>(&layers)?.tree.to_platform(self.seed))
     }
 }
 
 /// Runs a node until it is told to stop.
 pub fn run(args: NodeArgs) -> Result<(), Failure> {
-    let (source, mut log) = match args.config {
-        None => (Source::Platform, Options::default()),
-        Some(path) => {
-            let layers = Layers::new(Some(path.clone()), args.set.clone());
-            let log = load::<Tree>(&layers).map_err(Failure::unusable)?.tree.log;
-            let levels = log.level.parse().map_err(Failure::unusable)?;
-            let format = match log.format {
-                LogFormat::Text => Format::Text,
-                LogFormat::Json => Format::Json,
-            };
-            let file = File { path, flags: args.set, seed: fastrand::u64(..) };
-            (Source::Document(Box::new(file)), Options { levels, format })
-        }
+    let Some(path) = args.config.clone() else {
+        let config = Config::from_source(Source::Platform).map_err(Failure::unusable)?;
+        return serve(config, &logging(Options::default(), &args)?);
     };
-    log.levels = args.log.unwrap_or(log.levels);
-    log.format = args.log_format.unwrap_or(log.format);
-    let config = Config::from_source(source).map_err(Failure::unusable)?;
-    let log = Logging::to_stderr(log).map_err(Failure::failed)?;
+    let layers = Layers::new(Some(path.clone()), args.set.clone());
+    let Tree { log, store, .. } = load(&layers).map_err(Failure::unusable)?.tree;
+    let format = match log.format {
+        LogFormat::Text => Format::Text,
+        LogFormat::Json => Format::Json,
+    };
+    let options = Options { levels: log.level.parse().map_err(Failure::unusable)?, format };
+    let log = logging(options, &args)?;
+    let stored = store.map(keep).transpose()?;
+    let file = File { path, flags: args.set, seed: fastrand::u64(..), stored: stored.clone() };
+    let mut config = Config::from_source(Source::Document(Box::new(file))).map_err(Failure::unusable)?;
+    config.shared = stored.map(|stored| stored as Arc<dyn Shared>);
+    serve(config, &log)
+}
+
+fn logging(mut options: Options, args: &NodeArgs) -> Result<Logging, Failure> {
+    options.levels = args.log.clone().unwrap_or(options.levels);
+    options.format = args.log_format.unwrap_or(options.format);
+    Logging::to_stderr(options).map_err(Failure::failed)
+}
+
+/// Starts the store that a file names.
+fn keep(store: Store) -> Result<Arc<Stored>, Failure> {
+    let Store { dir, listen, key_file, wait } = store;
+    let bound = Duration::from_millis(wait.ms());
+    let daemon = daemon::start(Settings { dir, listen, key_file, bound }).map_err(Failure::unusable)?;
+    Ok(Stored::new(daemon))
+}
+
+fn serve(config: Config, log: &Logging) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     Ok(runtime.block_on(stonefold_node::run(config, log.dropped()))?)
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod commands;
 mod failure;
+mod shared;
 
 use std::process::ExitCode;
 
@@ -20,6 +21,8 @@
         Command::Get(args) => commands::request::get(args),
         Command::Set(args) => commands::request::set(args),
         Command::Call(args) => commands::call::run(args),
+        Command::Store(command) => commands::store::run(command),
+        Command::Config(command) => commands::store::config(command),
         Command::Completions { shell } => commands::texts::completions(shell),
         Command::Man => commands::texts::man(),
     };
--- /dev/null
+++ b/crates/cli/src/shared.rs
@@ -0,0 +1,178 @@
+//! The store as a node sees it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use stonefold_node::orders::{Order, Orders};
+use stonefold_node::shared::{Later, Shared};
+use stonefold_proto::list::List;
+use stonefold_store::daemon::Daemon;
+use stonefold_store::freshness::Verdict;
+use stonefold_store::state::{self, Change, Proposal, Reply};
+use tokio::time::{Instant, sleep};
+use tracing::warn;
+
+/// The document that holds what all nodes share of their configuration.
+pub const CONFIG: &str = "config";
+
+/// An operator waits half a second for the node's word, of which the store gets so much.
+const ORDER: Duration = Duration::from_millis(400);
+/// A list is proposed for so long, and then again after a pause.
+const LIST: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// A list that the others are to be told.
+struct Learned {
+    version: u64,
+    text: String,
+    started: Vec<(String, u64)>,
+}
+
+/// A node's store.
+pub struct Stored {
+    daemon: Daemon,
+    seen: AtomicU64,
+    /// The latest list that is not told yet, and whether somebody is telling.
+    learned: Mutex<(Option<Learned>, bool)>,
+    me: std::sync::Weak<Stored>,
+}
+
+impl Stored {
+    /// What a running store is to its node.
+    pub fn new(daemon: Daemon) -> Arc<Stored> {
+        let (seen, learned) = Default::default();
+        Arc::new_cyclic(|me| Stored { daemon, seen, learned, me: me.clone() })
+    }
+
+    /// The shared part of the configuration as it is committed, and its revision.
+    pub fn config(&self) -> Option<(u64, String)> {
+        let applied = self.daemon.replica.shared().read();
+        let latest = applied.state.document(CONFIG)?;
+        Some((latest.revision, latest.text.clone()))
+    }
+
+    async fn propose(&self, change: Change, within: Duration) -> Result<Reply, String> {
+        // Each proposal is a client's only one: none can be overtaken by another.
+        let proposal = Proposal { client: fastrand::u64(..), sequence: 1, change };
+        let until = Instant::now() + within;
+        self.daemon.replica.propose(proposal, until).await.map_err(|error| error.to_string())
+    }
+
+    fn next(&self) -> Option<Learned> {
+        let mut learned = self.learned.lock().unwrap_or_else(PoisonError::into_inner);
+        let next = learned.0.take().filter(|next| self.committed() < next.version);
+        learned.1 = next.is_some();
+        next
+    }
+
+    /// What could not be told is told later, unless there is something newer.
+    fn put_back(&self, old: Learned) {
+        let mut learned = self.learned.lock().unwrap_or_else(PoisonError::into_inner);
+        learned.0.get_or_insert(old);
+    }
+
+    /// The version of the committed list.
+    fn committed(&self) -> u64 {
+        self.daemon.replica.shared().read().state.list().map_or(0, |list| list.version)
+    }
+
+    async fn tell(self: Arc<Self>) {
+        while let Some(Learned { version, text, started }) = self.next() {
+            let learned_by = self.daemon.replica.identity().member;
+            let change = Change::List { version, text: text.clone(), learned_by, started: started.clone() };
+            if let Err(error) = self.propose(change, LIST).await {
+                warn!(event = "list_not_kept", version, error, "the list is proposed again");
+                self.put_back(Learned { version, text, started });
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Shared for Stored {
+    fn ready(&self) -> Later<'_, ()> {
+        let mut ready = self.daemon.ready.clone();
+        Box::pin(async move { _ = ready.wait_for(|ready| *ready).await }) // a store that has ended keeps nobody waiting
+    }
+
+    fn orders(&self) -> Orders {
+        let applied = self.daemon.replica.shared().read();
+        let order = |(id, order): (&String, &state::Order)| {
+            (id.clone(), Order { out: order.out, since_ms: order.since_ms })
+        };
+        applied.state.orders().iter().map(order).collect()
+    }
+
+    fn changed(&self) -> bool {
+        let now = *self.daemon.replica.applied().borrow();
+        self.seen.swap(now, Ordering::Relaxed) != now
+    }
+
+    fn order(&self, server: String, order: Order) -> Later<'_, Result<(), String>> {
+        let order = state::Order { out: order.out, since_ms: order.since_ms };
+        Box::pin(async move {
+            let change = Change::Order { server: server.clone(), order };
+            match self.propose(change, ORDER).await? {
+                Reply::Refused(why) => return Err(why.to_string()),
+                Reply::Done(_) | Reply::Nothing => {}
+            }
+            // Committed by whoever leads; here it may be applied a moment later.
+            let until = Instant::now() + ORDER;
+            while self.daemon.replica.shared().read().state.orders().get(&server) != Some(&order) {
+                if Instant::now() >= until {
+                    return Err("kept, but not in force here yet: ask again".into());
+                }
+                sleep(Duration::from_millis(2)).await;
+            }
+            Ok(())
+        })
+    }
+
+    fn list_after(&self, version: u64) -> Option<List> {
+        let applied = self.daemon.replica.shared().read();
+        let list = applied.state.list().filter(|list| list.version > version)?;
+        match serde_json::from_str(&list.text) {
+            Ok(list) => Some(list),
+            Err(error) => {
+                warn!(event = "list_unreadable", version = list.version, %error, "the kept list is not acted on");
+                None
+            }
+        }
+    }
+
+    fn may_act(&self, version: u64) -> Result<(), u64> {
+        match self.daemon.replica.freshness(|freshness, _| freshness.list(version)) {
+            Verdict::Act | Verdict::Same => Ok(()),
+            Verdict::Old { known } => Err(known),
+        }
+    }
+
+    fn learned(&self, version: u64, text: String, started: Vec<(String, u64)>) {
+        let mut learned = self.learned.lock().unwrap_or_else(PoisonError::into_inner);
+        learned.0 = Some(Learned { version, text, started });
+        if !std::mem::replace(&mut learned.1, true)
+            && let Some(me) = self.me.upgrade()
+        {
+            tokio::spawn(me.tell());
+        }
+    }
+
+    fn config_after(&self, revision: u64) -> Later<'_, u64> {
+        Box::pin(async move {
+            let mut applied = self.daemon.replica.applied();
+            loop {
+                if let Some((latest, _)) = self.config().filter(|(latest, _)| *latest > revision) {
+                    return latest;
+                }
+                if applied.changed().await.is_err() {
+                    return std::future::pending().await; // the store has ended
+                }
+            }
+        })
+    }
+
+    fn config_taken(&self, revision: u64) {
+        self.daemon.replica.freshness(|freshness, _| freshness.config(revision));
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/store.rs
@@ -0,0 +1,336 @@
+//! Nodes that keep their state together: three processes with a store each, killed and started again.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use fakes::*;
+
+const CACHE: &str = "s-5be2a07c";
+
+/// An address that nobody listens at now.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn stonefold(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_stonefold")).env_clear().args(args).output().unwrap()
+}
+
+/// What it printed, if it was done.
+fn done(args: &[&str]) -> String {
+    let output = stonefold(args);
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{args:?}: {told}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// What it said when it failed, and its exit code.
+fn failed(args: &[&str]) -> (i32, String) {
+    let output = stonefold(args);
+    (output.status.code().unwrap(), String::from_utf8(output.stderr).unwrap())
+}
+
+struct Site {
+    dir: tempfile::TempDir,
+    key: PathBuf,
+    stores: Vec<SocketAddr>,
+    cluster: String,
+}
+
+struct Member {
+    child: Child,
+    clients: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // as a power cut would, but for the disk
+        let _ = self.child.wait();
+    }
+}
+
+impl Site {
+    /// Stores for so many members, of one cluster.
+    fn new(members: usize) -> Site {
+        let dir = tempfile::tempdir().unwrap();
+        let key = dir.path().join("key");
+        let stores: Vec<SocketAddr> = (0..members).map(|_| free()).collect();
+        let mut site = Site { dir, key, stores, cluster: String::new() };
+        site.cluster = site.init(0, None).trim().to_owned();
+        (1..members).for_each(|n| _ = site.init(n, Some(&site.cluster)));
+        site
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.dir.path().join(name).to_str().unwrap().to_owned()
+    }
+
+    fn init(&self, n: usize, join: Option<&str>) -> String {
+        let (dir, member, listen) =
+            (self.path(&format!("m{n}")), (n + 1).to_string(), self.stores[n].to_string());
+        let mut args = vec!["store", "init", "--dir", &dir, "--member", &member, "--listen", &listen];
+        args.extend(["--key-file", self.key.to_str().unwrap()]);
+        args.extend(join.iter().flat_map(|join| ["--join", join]));
+        done(&args)
+    }
+
+    /// Arguments of a command, and those that say where the store is.
+    fn at<'a>(&'a self, n: usize, words: &[&'a str], at: &'a mut String) -> Vec<&'a str> {
+        *at = self.stores[n].to_string();
+        [words, &["--at", at, "--key-file", self.key.to_str().unwrap()]].concat()
+    }
+
+    fn store(&self, n: usize, words: &[&str]) -> String {
+        done(&self.at(n, words, &mut String::new()))
+    }
+
+    fn refused(&self, n: usize, words: &[&str]) -> (i32, String) {
+        failed(&self.at(n, words, &mut String::new()))
+    }
+
+    /// Starts members together: those that have a quorum among them wait for each other.
+    fn start_all(&self, members: &[usize], discovery: SocketAddr) -> Vec<Member> {
+        std::thread::scope(|scope| {
+            let starts: Vec<_> =
+                members.iter().map(|&n| scope.spawn(move || self.start(n, discovery, "10s"))).collect();
+            starts.into_iter().map(|start| start.join().unwrap()).collect()
+        })
+    }
+
+    fn start(&self, n: usize, discovery: SocketAddr, wait: &str) -> Member {
+        let (store, dir) = (self.stores[n], self.path(&format!("m{n}")));
+        let config = format!(
+            r#"
+[node]
+listen = "127.0.0.1:0"
+discovery = "{discovery}"
+operator = "127.0.0.1:0"
+[store]
+dir = "{dir}"
+listen = "{store}"
+key_file = "{key}"
+wait = "{wait}"
+[fleet]
+zones = ["a"]
+subscribe = false
+[[class]]
+name = "read"
+aim = "300ms"
+deadline = "2s"
+effect = "safe"
+"#,
+            key = self.key.display()
+        );
+        let file = self.path(&format!("node{n}.toml"));
+        std::fs::write(&file, config).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stonefold"));
+        command.env_clear().args(["node", "--config", &file]).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let (mut clients, mut operators) = (None, None);
+        let mut all = String::new();
+        while clients.is_none() || operators.is_none() {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended at its start: {all}");
+            let told = |event: &str| {
+                let (_, at) = line.split_once(&format!(r#"event="{event}" at="#))?;
+                Some(at.split_whitespace().next().unwrap().parse().unwrap())
+            };
+            clients = told("listening").or(clients);
+            operators = told("operator_listening").or(operators);
+            all += &line;
+        }
+        Member { child, clients: clients.unwrap(), operators: operators.unwrap() }
+    }
+}
+
+impl Member {
+    fn call(&self, call: &str) -> String {
+        let output = stonefold(&["call", &self.operators.to_string(), call]);
+        String::from_utf8(output.stdout).unwrap()
+    }
+
+    fn figure(&self, name: &str) -> String {
+        let all = self.call("STATS");
+        let line = all.lines().find(|line| line.starts_with(&format!("{name} "))).unwrap();
+        line.rsplit_once(' ').unwrap().1.to_owned()
+    }
+
+    /// Waits until a figure has a value.
+    fn until(&self, name: &str, value: &str) {
+        let end = std::time::Instant::now() + PATIENCE;
+        while self.figure(name) != value {
+            assert!(std::time::Instant::now() < end, "{name} is {}, not {value}", self.figure(name));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn read(&self, facts: &str) -> String {
+        let mut stream = TcpStream::connect(self.clients).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let words = ["CACHE.GET", "k", "9b1f03aa5c7e2d41", facts];
+        let bulk: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+        stream.write_all(format!("*4\r\n{bulk}").as_bytes()).unwrap();
+        let mut answer = String::new();
+        let mut reader = BufReader::new(stream);
+        reader.read_line(&mut answer).unwrap();
+        if answer.starts_with('$') {
+            answer.clear();
+            reader.read_line(&mut answer).unwrap();
+        }
+        answer.trim_end().to_owned()
+    }
+}
+
+/// A discovery that tells whoever asks for the whole list, and has no news.
+fn answering(discovery: Fake, list: String) {
+    std::thread::spawn(move || {
+        let mut waiting = Vec::new();
+        loop {
+            match discovery.called() {
+                Some(call) if call.words[1].contains("after=") => waiting.push(call),
+                Some(call) => call.http("200 OK", &list),
+                None => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    });
+}
+
+#[test]
+fn what_one_node_learns_all_know_and_still_do_after_all_were_killed_at_once() {
+    let site = Site::new(3);
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let other = free(); // it is out of use all the time
+    let known = list(41, &[(CACHE, other), ("s-11d0c3f9", cache.addr)], origin.addr);
+    let nobody = free();
+    // One node's discovery answers; the others' do not, and never will.
+    let mut nodes = vec![site.start(0, discovery.addr, "10s")];
+    nodes.extend((1..3).map(|n| site.start(n, nobody, "0s")));
+    answering(discovery, known);
+    for (n, member) in [(1, "2"), (2, "3")] {
+        site.store(0, &["store", "add", member, &site.stores[n].to_string()]);
+    }
+    assert_eq!(site.store(1, &["store", "members"]).matches("votes").count(), 3);
+
+    nodes.iter().for_each(|node| node.until("svc_hosts_listed", "2"));
+    let serving = |node: &Member| {
+        std::thread::scope(|scope| {
+            let read = scope.spawn(|| node.read("c=read,d=2000"));
+            cache.call().value("v");
+            assert_eq!(read.join().unwrap(), "v");
+        });
+    };
+    // An order to one binds all.
+    assert_eq!(nodes[1].call(&format!("DISABLE {CACHE}")), "ok\n");
+    nodes.iter().for_each(|node| node.until("svc_hosts_down", "1"));
+    serving(&nodes[2]);
+
+    // A configuration is in force everywhere when `push` ends, and a bad one nowhere.
+    let shared = |text: &str| {
+        let file = site.path("shared.toml");
+        std::fs::write(&file, text).unwrap();
+        file
+    };
+    let class = "[[class]]\nname = \"audio\"\naim = \"1s\"\ndeadline = \"2s\"\neffect = \"safe\"\n";
+    for (bad, why) in [("[[class]]\nname = 3", "class[0]"), ("[node]\nname = \"x\"", "each node's own")] {
+        let (code, told) = site.refused(0, &["config", "push", &shared(bad)]);
+        assert!(code == 2 && told.contains(why), "{code}: {told}");
+    }
+    assert!(nodes[0].read("c=audio,d=2000").starts_with("-ERR"));
+    site.store(2, &["config", "push", &shared(class)]);
+    let audio = |node: &Member| !node.read("c=audio,d=50").contains("class");
+    assert!(nodes.iter().all(audio));
+
+    // All are killed at once. Without any discovery they start with what was committed.
+    nodes.clear();
+    nodes = site.start_all(&[0, 1, 2], nobody);
+    for node in &nodes {
+        node.until("svc_hosts_listed", "2");
+        node.until("svc_hosts_down", "1");
+        assert!(node.call("READY").starts_with("ok") && audio(node));
+    }
+    serving(&nodes[1]);
+    assert_eq!(nodes[0].call(&format!("ENABLE {CACHE}")), "ok\n");
+    nodes[1].until("svc_hosts_down", "0");
+    assert_eq!(nodes[1].call(&format!("DISABLE {CACHE}")), "ok\n");
+    nodes[2].until("svc_hosts_down", "1");
+
+    // With two of three gone no change is taken, and requests are still served.
+    nodes.truncate(2);
+    nodes.remove(0);
+    let answer = nodes[0].call(&format!("ENABLE {CACHE}"));
+    assert!(answer.starts_with("fail"), "{answer}");
+    serving(&nodes[0]);
+}
+
+#[test]
+fn a_node_goes_on_from_its_own_disk_without_a_quorum_and_serves() {
+    let site = Site::new(2);
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let mut nodes = vec![site.start(0, discovery.addr, "10s"), site.start(1, free(), "0s")];
+    answering(discovery, list(41, &[(CACHE, cache.addr)], origin.addr));
+    site.store(0, &["store", "add", "2", &site.stores[1].to_string()]);
+    nodes[1].until("svc_hosts_listed", "1");
+    nodes.clear();
+    // Its start waits for the other, and not for good.
+    let alone = site.start(1, free(), "200ms");
+    alone.until("svc_hosts_listed", "1");
+    let read = std::thread::spawn(move || (alone.read("c=read,d=2000"), alone));
+    cache.call().value("v");
+    assert_eq!(read.join().unwrap().0, "v");
+}
+
+#[test]
+fn documents_have_a_history_go_back_and_move_to_another_cluster() {
+    let (site, other) = (Site::new(1), Site::new(1));
+    let nodes = [site.start(0, free(), "10s"), other.start(0, free(), "10s")];
+    let file = |text: &str| {
+        let file = site.path("text");
+        std::fs::write(&file, text).unwrap();
+        file
+    };
+    let first = site.store(0, &["store", "set", "rules", &file("one\n"), "--after", "0"]);
+    let first = first.trim().strip_prefix("revision ").unwrap().to_owned();
+    site.store(0, &["store", "set", "rules", &file("two\n"), "--after", &first]);
+    let (code, told) = site.refused(0, &["store", "set", "rules", &file("three\n"), "--after", &first]);
+    assert!(code == 1 && told.contains("the latest revision is"), "{told}");
+    assert_eq!(site.store(0, &["store", "history", "rules"]).lines().count(), 2);
+    site.store(0, &["store", "rollback", "rules", &first]);
+    assert_eq!(site.store(0, &["store", "get", "rules"]), "one\n");
+    assert_eq!(site.refused(0, &["store", "get", "none"]).0, 1);
+
+    let snapshot = site.path("snapshot");
+    site.store(0, &["store", "snapshot", &snapshot]);
+    let mut bytes = std::fs::read(&snapshot).unwrap();
+    let damaged = site.path("damaged");
+    *bytes.last_mut().unwrap() ^= 1;
+    std::fs::write(&damaged, bytes).unwrap();
+    let (code, told) = other.refused(0, &["store", "restore", &damaged]);
+    assert!(code == 2 && told.contains("checksum"), "{told}");
+    other.store(0, &["store", "restore", &snapshot]);
+    assert_eq!(other.store(0, &["store", "get", "rules"]), "one\n");
+    assert!(other.refused(0, &["store", "restore", &snapshot]).1.contains("holds something"));
+
+    // Who has another key is told so, and so is whoever asks for a store that is in use or not there.
+    let mut at = String::new();
+    let mut args = other.at(0, &["store", "status"], &mut at);
+    *args.last_mut().unwrap() = site.key.to_str().unwrap();
+    let (code, told) = failed(&args);
+    assert!(code == 1 && told.contains("127.0.0.1"), "{told}");
+    let dir = site.path("m0");
+    assert_eq!(failed(&["store", "verify", "--dir", &dir]).0, 1);
+    drop(nodes);
+    assert!(done(&["store", "verify", "--dir", &dir]).contains("whole"));
+    assert!(
+        failed(&["store", "verify", "--dir", Path::new(&dir).parent().unwrap().to_str().unwrap()])
+            .1
+            .contains("no store here")
+    );
+}
--- a/crates/config/src/layers.rs
+++ b/crates/config/src/layers.rs
@@ -13,6 +13,8 @@
 /// Variables of the environment that state values: the rest of the name is the key, `__` between its parts.
 /// Those of one part alone (`STONEFOLD_LOG`) are none: no single value stands at the top of the tree.
 const PREFIX: &str = "STONEFOLD_";
+/// Parts of the tree that no document states for several nodes.
+const OWN: [&str; 4] = ["node", "limits", "log", "store"];
 
 /// Which layer a value came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
 pub struct Layers {
     /// A TOML file.
     pub file: Option<PathBuf>,
+    /// What all nodes share, by its name and as TOML: it goes before the file.
+    pub shared: Option<(String, String)>,
     /// Variables of the environment.
     pub environment: Vec<(String, String)>,
     /// `key=value` of flags, in their order.
@@ -40,7 +44,7 @@
         let text = |(name, value): (std::ffi::OsString, std::ffi::OsString)| {
             Some((name.into_string().ok()?, value.into_string().ok()?))
         };
-        Layers { file, environment: std::env::vars_os().filter_map(text).collect(), flags }
+        Layers { file, shared: None, environment: std::env::vars_os().filter_map(text).collect(), flags }
     }
 }
 
@@ -59,6 +63,9 @@
                 .map_err(|source| ConfigError::Read { path: path.clone(), source })?;
             merged.file(path, &text)?;
         }
+        if let Some((name, text)) = &layers.shared {
+            merged.shared(name, text)?;
+        }
         let of_ours = |(name, _): &&(String, String)| name.starts_with(PREFIX) && name.contains("__");
         let mut variables: Vec<_> = layers.environment.iter().filter(of_ours).collect();
         variables.sort();
@@ -89,6 +96,23 @@
         Ok(())
     }
 
+    /// What all nodes share goes over the file, but not over what is a node's own.
+    fn shared(&mut self, name: &str, text: &str) -> Result<(), ConfigError> {
+        let mut own = Merged { table: Table::new(), places: BTreeMap::new() };
+        own.file(Path::new(name), text)?;
+        if let Some(key) = OWN.into_iter().find(|key| own.table.contains_key(*key)) {
+            return Err(fault(own.place(key), key, "is each node's own, and not for a shared document"));
+        }
+        for (key, value) in own.table {
+            match (self.table.get_mut(&key), value) {
+                (Some(Value::Table(there)), Value::Table(new)) => there.extend(new),
+                (_, value) => _ = self.table.insert(key, value),
+            }
+        }
+        self.places.extend(own.places);
+        Ok(())
+    }
+
     /// Puts one value over what is there.
     fn put(&mut self, key: &str, value: Value, place: Place) -> Result<(), ConfigError> {
         let mut table = &mut self.table;
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -1,6 +1,7 @@
 //! The tree. Each field's words are what the schema says of it.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,9 @@
     pub connections: Connections,
     /// The cache servers and the origin in general.
     pub fleet: Fleet,
+    /// The store that nodes keep together; none if it is absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub store: Option<Store>,
     /// Classes of requests; at least one.
     #[serde(rename = "class", skip_serializing_if = "Vec::is_empty")]
     pub classes: Vec<Class>,
@@ -113,6 +117,25 @@
     Json,
 }
 
+/// The store that nodes keep together: configuration, orders and the list of servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// The folder it is kept in, as `stonefold store init` made it.
+    pub dir: PathBuf,
+    /// Where other members reach it: a loopback address.
+    pub listen: SocketAddr,
+    /// The file of the key that all members share.
+    pub key_file: PathBuf,
+    /// A starting node waits so long for the others to tell what is committed.
+    #[serde(default = "store_wait")]
+    pub wait: Millis<0, 60_000>,
+}
+
+fn store_wait() -> Millis<0, 60_000> {
+    Millis::new(2 * SECOND)
+}
+
 /// How requests are tried, and what clients are told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -16,6 +16,7 @@
 use crate::handover;
 use crate::operator::CALLERS;
 use crate::relay::Budget;
+use crate::shared::Shared;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listeners, discovery, the runtimes' own, operators, and one to spare for a connection that is turned away.
@@ -40,6 +41,8 @@
     pub known: List,
     pub setup: Setup,
     pub file: Followed,
+    /// What all nodes keep together, where an installation has that.
+    pub shared: Option<Arc<dyn Shared>>,
 }
 
 /// Why a node cannot start.
@@ -238,6 +241,7 @@
             known: file.known,
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
             file: Followed { source, value },
+            shared: None,
         })
     }
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -4,14 +4,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use tracing::error;
 
 use crate::message::Control;
+use crate::message::Message;
 use crate::metrics::Metrics;
 use crate::operator::{self, Call};
-use crate::orders::{self, Order, Orders, StateError, Store};
+use crate::orders::{Kept, StateError};
+use crate::shared::Shared;
 
 /// How often the orders are looked at: a call to one process binds the other well within the grace.
 const ORDERS: Duration = Duration::from_millis(100);
@@ -23,7 +26,7 @@
     /// Whether clients' connections are taken.
     pub serving: Arc<AtomicBool>,
     pub control: mpsc::Sender<Control>,
-    pub store: Arc<Store>,
+    pub store: Arc<Kept>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -45,12 +48,7 @@
         if !known {
             return Err(OrderError::Unknown(id));
         }
-        let change = |orders: &mut Orders| match orders.get(&id) {
-            Some(order) if order.out == out => {} // said before: it stands as it was
-            None if !out => {}
-            _ => _ = orders.insert(id.clone(), Order { out, since_ms: orders::now_ms() }),
-        };
-        let orders = self.store.change(change).map_err(OrderError::NotKept)?;
+        let orders = self.store.order(id, out).await.map_err(OrderError::NotKept)?;
         self.tell(|done| Control::Orders(orders, Some(done))).await
     }
 
@@ -84,11 +82,15 @@
     }
 }
 
-/// Takes over what other processes of this node were ordered.
-pub async fn follow_orders(store: Arc<Store>, control: mpsc::Sender<Control>) {
+/// Takes over what others were ordered or have learned.
+pub async fn follow_kept(store: Arc<Kept>, control: mpsc::Sender<Control>, to: UnboundedSender<Message>) {
+    let mut version = 0;
     loop {
         sleep(ORDERS).await;
         if store.changed() {
+            if let Kept::Shared(shared) = &*store {
+                follow_list(&**shared, &mut version, &to);
+            }
             match store.load() {
                 Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
                 Err(error) => error!(event = "orders_unreadable", %error, "those in force stay"),
@@ -96,3 +98,11 @@
         }
     }
 }
+
+/// A list that others have learned and this node's discovery has not told it yet.
+fn follow_list(shared: &dyn Shared, version: &mut u64, to: &UnboundedSender<Message>) {
+    if let Some(list) = shared.list_after(*version) {
+        *version = list.version;
+        let _ = to.send(Message::List(list)); // nobody to tell at the end
+    }
+}
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -28,6 +28,7 @@
 use crate::orders::Orders;
 use crate::relay::Budget;
 use crate::request::Answer;
+use crate::shared::Ledger;
 use crate::upstream::directory::Directory;
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -84,6 +85,8 @@
     /// When the process ends, once that is known.
     ends: Option<Instant>,
     orders: Orders,
+    /// The list for the others; nothing where nothing is kept together.
+    ledger: Option<Ledger>,
 }
 
 impl Driver {
@@ -112,11 +115,15 @@
             control,
             ends: None,
             orders: Orders::new(),
+            ledger: config.shared.map(Ledger::new),
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.timers.insert(Due::Count, COUNT);
         driver.obey(orders);
-        driver.list(List { full: true, ..config.known });
+        let known = List { full: true, ..config.known };
+        if driver.ledger.as_mut().is_none_or(|ledger| ledger.enter(&known)) {
+            driver.list(known);
+        }
         driver.decide();
         driver.count();
         driver
@@ -194,7 +201,11 @@
             Message::Gone(id) => self.gone(id),
             Message::Begun(id, attempt, stream) => self.begun(id, attempt, stream),
             Message::Ended(ended) => self.ended(ended),
-            Message::List(list) => self.list(list),
+            Message::List(list) => {
+                if self.ledger.as_mut().is_none_or(|ledger| ledger.enter(&list)) {
+                    self.list(list);
+                }
+            }
             Message::ListFailed => {
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,10 +10,11 @@
 mod message;
 mod metrics;
 mod operator;
-mod orders;
+pub mod orders;
 mod relay;
 mod reload;
 mod request;
+pub mod shared;
 mod upstream;
 
 use std::io;
@@ -29,11 +30,11 @@
 use tracing::{error, info};
 
 use config::Config;
-use desk::{Desk, follow_orders};
+use desk::{Desk, follow_kept};
 use driver::{Driver, Wiring};
 use message::{Control, Terms};
 use metrics::Metrics;
-use orders::{Orders, Store};
+use orders::{Kept, Orders, Store};
 use reload::Follower;
 
 /// After word to stop, connections that were on their way are still taken for so long, unless a successor has
@@ -58,6 +59,11 @@
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
     let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
+    let shared = config.shared.clone();
+    if let Some(shared) = &shared {
+        shared.ready().await; // bounded by its settings
+        config.known = shared.list_after(config.known.version).unwrap_or(config.known);
+    }
     let watching = discovery::Watch::new(
         asked,
         config.known.version,
@@ -72,13 +78,13 @@
     let metrics = Arc::new(Metrics::new(log));
     terms.borrow().classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
-    let store = Arc::new(Store::of_node());
+    let store = Arc::new(shared.clone().map_or_else(|| Kept::File(Store::of_node()), Kept::Shared));
     store.changed();
     let orders = store.load().unwrap_or_else(|error| {
         error!(event = "orders_unreadable", %error, "no orders are in force");
         Orders::new()
     });
-    tokio::spawn(follow_orders(store.clone(), control.clone()));
+    tokio::spawn(follow_kept(store.clone(), control.clone(), sender.clone()));
     let operator = config.operator;
     let budget = config.relay_budget();
     let file = std::mem::take(&mut config.file);
@@ -101,7 +107,7 @@
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
     let follower =
-        Follower { file, control: control.clone(), metrics: metrics.clone(), new_address, new_terms };
+        Follower { file, control: control.clone(), metrics: metrics.clone(), new_address, new_terms, shared };
     tokio::spawn(follower.run(reload));
 
     let closing = clients::Closing::default();
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -1,18 +1,20 @@
 //! What outlives a process: the orders that operators gave for servers.
 //!
-//! Everything beyond this module sees [`Store::load`], [`Store::change`] and [`Store::changed`]; where the
-//! orders are kept is this module's alone. Today that is a small file which all processes of a node share.
+//! Everything beyond this module sees [`Kept`]; where the orders are kept is this module's alone: a small file which
+//! all processes of a node share, or what all nodes keep together.
 
 use std::collections::BTreeMap;
 use std::env;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
 
 use serde::{Deserialize, Serialize};
 
+use crate::shared::Shared;
+
 /// The form of the file. One of another version is not read.
 const VERSION: u32 = 1;
 /// An order that put a server back is forgotten after this time, in ms: it is warm by then.
@@ -33,7 +35,7 @@
 
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Kept {
+struct Written {
     version: u32,
     servers: Orders,
 }
@@ -50,6 +52,9 @@
     Damaged(PathBuf, serde_json::Error),
     #[error("{path} is of version {1}, not {VERSION}", path = .0.display())]
     Version(PathBuf, u32),
+    /// What all nodes keep together.
+    #[error("{0}")]
+    Shared(String),
 }
 
 impl StateError {
@@ -64,6 +69,55 @@
 struct Stamp(SystemTime, u64, u64);
 
 /// Where orders are kept.
+pub enum Kept {
+    /// A file of this machine.
+    File(Store),
+    /// What all nodes keep together.
+    Shared(Arc<dyn Shared>),
+}
+
+impl Kept {
+    /// The orders as they are kept now.
+    pub fn load(&self) -> Result<Orders, StateError> {
+        match self {
+            Kept::File(store) => store.load(),
+            Kept::Shared(shared) => Ok(shared.orders()),
+        }
+    }
+
+    /// Whether the orders may have changed since this was last asked.
+    pub fn changed(&self) -> bool {
+        match self {
+            Kept::File(store) => store.changed(),
+            Kept::Shared(shared) => shared.changed(),
+        }
+    }
+
+    /// Orders a server out of use or back, durably; tells the orders as they are then.
+    pub async fn order(&self, id: String, out: bool) -> Result<Orders, StateError> {
+        let order = Order { out, since_ms: now_ms() };
+        match self {
+            Kept::File(store) => store.change(|orders| {
+                if changes(orders, &id, out) {
+                    orders.insert(id, order);
+                }
+            }),
+            Kept::Shared(shared) => {
+                if changes(&shared.orders(), &id, out) {
+                    shared.order(id, order).await.map_err(StateError::Shared)?;
+                }
+                Ok(shared.orders())
+            }
+        }
+    }
+}
+
+/// Whether an order says anything new; one that was given before stands as it was.
+fn changes(orders: &Orders, id: &str, out: bool) -> bool {
+    orders.get(id).map_or(out, |order| order.out != out)
+}
+
+/// The file of a node's orders.
 pub struct Store {
     dir: Option<PathBuf>,
     seen: Mutex<Option<Stamp>>,
@@ -102,7 +156,7 @@
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Orders::new()),
             Err(error) => return Err(StateError::Io(path, error)),
         };
-        match serde_json::from_slice::<Kept>(&text) {
+        match serde_json::from_slice::<Written>(&text) {
             Ok(kept) if kept.version == VERSION => {
                 self.last().clone_from(&kept.servers);
                 Ok(kept.servers)
@@ -132,12 +186,14 @@
         change(&mut orders);
         let now = now_ms();
         orders.retain(|_, order| order.out || now.saturating_sub(order.since_ms) < REMEMBERED);
-        let kept = Kept { version: VERSION, servers: orders };
+        let kept = Written { version: VERSION, servers: orders };
         let new = path.with_extension("new");
         let mut file = File::create(&new).map_err(failed)?;
         serde_json::to_writer(&mut file, &kept).map_err(|e| failed(e.into()))?;
         file.flush().and_then(|()| file.sync_all()).map_err(failed)?;
         fs::rename(&new, &path).map_err(failed)?;
+        // Guards against: a power cut after which the folder still names the file before.
+        File::open(dir).and_then(|dir| dir.sync_all()).map_err(failed)?;
         self.last().clone_from(&kept.servers);
         Ok(kept.servers)
     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -12,6 +12,7 @@
 use crate::config::{ConfigError, Followed};
 use crate::message::{Control, Terms};
 use crate::metrics::Metrics;
+use crate::shared::Shared;
 
 /// A class that the settings have dropped is still taken for so long: its last requests are on their way.
 const LAST_REQUESTS: Duration = Duration::from_secs(1);
@@ -23,6 +24,7 @@
     pub metrics: Arc<Metrics>,
     pub new_address: watch::Sender<SocketAddr>,
     pub new_terms: watch::Sender<Terms>,
+    pub shared: Option<Arc<dyn Shared>>,
 }
 
 impl Follower {
@@ -30,16 +32,22 @@
     pub async fn run(mut self, mut reload: Signal) {
         // When dropped classes are no longer taken, and what holds then.
         let mut settled: Option<(Instant, Terms)> = None;
+        let (shared, mut seen) = (self.shared.clone(), 0);
         loop {
             let at = settled.as_ref().map(|(at, _)| *at);
             tokio::select! {
-                Some(()) = reload.recv() => match self.take().instrument(info_span!("reload")).await {
-                    Ok(terms) => settled = Some((Instant::now() + LAST_REQUESTS, terms)),
-                    Err(error) => {
-                        self.metrics.reloads_refused.add_one();
-                        error!(event = "reload_refused", %error, "configuration kept as it was");
+                Some(()) = reload.recv() => {
+                    if let Some(terms) = self.reload().await {
+                        settled = Some((Instant::now() + LAST_REQUESTS, terms));
                     }
-                },
+                }
+                revision = committed(&shared, seen) => {
+                    seen = revision;
+                    if let Some(terms) = self.reload().await {
+                        settled = Some((Instant::now() + LAST_REQUESTS, terms));
+                        shared.iter().for_each(|shared| shared.config_taken(revision));
+                    }
+                }
                 () = sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
                     if let Some((_, terms)) = settled.take() {
                         self.new_terms.send_replace(terms);
@@ -50,6 +58,15 @@
         }
     }
 
+    async fn reload(&mut self) -> Option<Terms> {
+        let taken = self.take().instrument(info_span!("reload")).await;
+        let refused = |error: &ConfigError| {
+            self.metrics.reloads_refused.add_one();
+            error!(event = "reload_refused", %error, "configuration kept as it was");
+        };
+        taken.inspect_err(refused).ok()
+    }
+
     /// Brings the file as it is now into force. An error leaves all as it was.
     async fn take(&mut self) -> Result<Terms, ConfigError> {
         let (new, file) = self.file.read()?;
@@ -70,3 +87,11 @@
         Ok(terms)
     }
 }
+
+/// The revision of a shared configuration later than the one seen; never where nothing is shared.
+async fn committed(shared: &Option<Arc<dyn Shared>>, seen: u64) -> u64 {
+    match shared {
+        Some(shared) => shared.config_after(seen).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/observe/src/level.rs
+++ b/crates/observe/src/level.rs
@@ -19,9 +19,14 @@
     source: ParseError,
 }
 
+/// A library that tells its every step as information; of it only warnings are, unless its levels are stated.
+const TALKATIVE: &str = "openraft";
+
 impl Levels {
     pub(crate) fn into_targets(self) -> Targets {
-        self.0
+        let stated = self.0.iter().any(|(target, _)| target.starts_with(TALKATIVE));
+        let quiet = self.0.default_level().is_some_and(|level| level <= LevelFilter::WARN);
+        if stated || quiet { self.0 } else { self.0.with_target(TALKATIVE, LevelFilter::WARN) }
     }
 }
 
--- a/crates/proto/src/list.rs
+++ b/crates/proto/src/list.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
 use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
 
 /// An answer of discovery.
 #[derive(Deserialize, Default, Debug)]
@@ -50,7 +50,7 @@
 }
 
 /// A server in the list.
-#[derive(Deserialize, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Entry {
     /// The same at every node.
     pub id: String,
@@ -76,7 +76,7 @@
 }
 
 /// Whether a server takes requests.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum State {
     /// In service.
--- /dev/null
+++ b/crates/store/examples/commits.rs
@@ -0,0 +1,162 @@
+//! What a change costs: replicas over TCP and on disks, all on this machine and in one process.
+//!
+//!     cargo run --release -p stonefold-store --example commits -- [FOLDER]
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use stonefold_store::disk::{Disk, Identity};
+use stonefold_store::message::{Party, Request, Response};
+use stonefold_store::replica::{Options, Replica};
+use stonefold_store::state::{Change, Proposal};
+use stonefold_store::wire::{Key, Keys, Tcp, serve};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+const LONG: Duration = Duration::from_secs(60);
+
+struct Member {
+    replica: Replica<Tcp>,
+    addr: String,
+    stop: CancellationToken,
+    dir: PathBuf,
+}
+
+async fn start(folder: &Path, member: u64) -> Result<Member, Failure> {
+    let dir = folder.join(format!("m{member}"));
+    let disk = Disk::create(&dir, Identity { cluster: 1, member })?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?.to_string();
+    let tcp = Tcp::member(Keys::new(Key::new([7; 32]), None), 1, member, addr.clone());
+    let replica = Replica::start(disk, Options::at(addr.clone()), tcp.clone()).await?;
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, replica.clone(), tcp, stop.clone()));
+    Ok(Member { replica, addr, stop, dir })
+}
+
+async fn add(first: &Replica<Tcp>, member: u64, addr: &str) -> Result<(), Failure> {
+    match first.answer(Party::Client, Request::Add { member, addr: addr.into() }).await {
+        Response::Changed(done) => Ok(done?),
+        other => Err(format!("{other:?}").into()),
+    }
+}
+
+async fn change(replica: &Replica<Tcp>, n: u64, bytes: usize) -> Result<(), Failure> {
+    let (name, text) = (format!("d{}", n % 100), "x".repeat(bytes));
+    let change = Change::Document { name, text, author: "me".into(), at_ms: 0, after: None };
+    let proposal = Proposal { client: n, sequence: 1, change };
+    replica.propose(proposal, Instant::now() + LONG).await?;
+    Ok(())
+}
+
+/// Changes from so many clients at a time: how many a second, and how long each took.
+async fn commits(replica: &Replica<Tcp>, clients: u64, each: u64) -> Result<(f64, Histogram<u64>), Failure> {
+    let start = Instant::now();
+    let runs = (0..clients).map(|client| {
+        let replica = replica.clone();
+        tokio::spawn(async move {
+            let mut took = Histogram::<u64>::new(3)?;
+            for n in 0..each {
+                let begun = Instant::now();
+                change(&replica, (client << 32) + n + 1, 200).await?;
+                took.record(begun.elapsed().as_micros() as u64)?;
+            }
+            Ok::<_, Failure>(took)
+        })
+    });
+    let mut all = Histogram::new(3)?;
+    for run in runs.collect::<Vec<_>>() {
+        all.add(run.await??)?;
+    }
+    Ok(((clients * each) as f64 / start.elapsed().as_secs_f64(), all))
+}
+
+fn cpu() -> Result<f64, Failure> {
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks: u64 =
+        fields.get(11).ok_or("stat")?.parse::<u64>()? + fields.get(12).ok_or("stat")?.parse::<u64>()?;
+    Ok(ticks as f64 / 100.0)
+}
+
+async fn play(folder: &Path, number: u64) -> Result<(), Failure> {
+    let mut members = Vec::new();
+    for member in 1..=number {
+        members.push(start(folder, member).await?);
+    }
+    members[0].replica.bootstrap().await?;
+    members[0].replica.confirm(Instant::now() + LONG).await?;
+    for member in 2..=number {
+        add(&members[0].replica, member, &members[member as usize - 1].addr).await?;
+    }
+    for clients in [1, 16] {
+        let (rate, took) = commits(&members[0].replica, clients, 1_000 / clients).await?;
+        let ms = |quantile: f64| took.value_at_quantile(quantile) as f64 / 1e3;
+        println!(
+            "{number} members, {clients} clients: {rate:.0} changes/s, p50 {:.2} ms, p99 {:.2} ms",
+            ms(0.5),
+            ms(0.99)
+        );
+    }
+    let (before, start_idle) = (cpu()?, Instant::now());
+    sleep(Duration::from_secs(5)).await;
+    let idle = (cpu()? - before) / start_idle.elapsed().as_secs_f64() / number as f64;
+    println!("{number} members: idle, each takes {:.2}% of a core", idle * 100.0);
+
+    // Many more entries, then a new member: it catches up by a snapshot and the rest of the log.
+    let begun = Instant::now();
+    for chunk in 0..100u64 {
+        let some = (0..100).map(|n| change(&members[0].replica, (1 << 50) + chunk * 100 + n, 200));
+        for done in futures_util::future::join_all(some.collect::<Vec<_>>()).await {
+            done?;
+        }
+    }
+    println!("{number} members: 10,000 changes in {:.1} s", begun.elapsed().as_secs_f64());
+    let size = std::fs::metadata(members[0].dir.join("store.redb"))?.len();
+    let entries = members[0].replica.status();
+    println!(
+        "{number} members: {} KiB on disk at entry {}, snapshot up to {}",
+        size >> 10,
+        entries.last,
+        entries.snapshot
+    );
+    let late = start(folder, number + 1).await?;
+    let begun = Instant::now();
+    add(&members[0].replica, number + 1, &late.addr).await?;
+    println!(
+        "{number} members: one more has caught up and votes after {:.0} ms",
+        begun.elapsed().as_secs_f64() * 1e3
+    );
+
+    // The leader falls silent.
+    let leader = members.remove(0);
+    leader.stop.cancel();
+    leader.replica.stop().await;
+    let begun = Instant::now();
+    change(&members[0].replica, 1 << 60, 200).await?;
+    println!(
+        "{number} members: the first change after the leader's end took {:.0} ms",
+        begun.elapsed().as_secs_f64() * 1e3
+    );
+    for member in members.iter().chain([&late]) {
+        member.stop.cancel();
+        member.replica.stop().await;
+    }
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Failure> {
+    let folder = std::env::args().nth(1).map_or_else(std::env::temp_dir, PathBuf::from);
+    let dir = tempfile::tempdir_in(folder)?;
+    for number in [3, 5] {
+        let folder = dir.path().join(number.to_string());
+        std::fs::create_dir(&folder)?;
+        play(&folder, number).await?;
+    }
+    Ok(())
+}
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -57,6 +57,14 @@
     /// The database.
     #[error("the store's file: {0}")]
     Database(Box<redb::Error>),
+    /// An entry is missing.
+    #[error("the log has entry {found} where {wanted} should be")]
+    Gap {
+        /// The entry that should be there.
+        wanted: u64,
+        /// The one that is.
+        found: u64,
+    },
     /// The folder.
     #[error("{path}: {1}", path = .0.display())]
     Io(PathBuf, io::Error),
@@ -68,6 +76,30 @@
     }
 }
 
+/// What was found on a disk that is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verified {
+    /// Whose it is.
+    pub identity: Identity,
+    /// The first entry of the log that is kept, and how many there are.
+    pub first: u64,
+    /// See `first`.
+    pub entries: usize,
+    /// The last entry that its snapshot stands for.
+    pub snapshot: Option<u64>,
+}
+
+impl std::fmt::Display for Verified {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Identity { cluster, member } = self.identity;
+        write!(f, "member {member} of cluster {cluster:032x}: {} entries from {}", self.entries, self.first)?;
+        match self.snapshot {
+            Some(upto) => write!(f, ", a snapshot up to {upto}: whole"),
+            None => write!(f, ", no snapshot yet: whole"),
+        }
+    }
+}
+
 type Result<T, E = DiskError> = std::result::Result<T, E>;
 
 /// An open disk.
@@ -158,6 +190,23 @@
         Ok(disk)
     }
 
+    /// Reads all of it: entries in their order, without a gap, and the snapshot with its checksum.
+    ///
+    /// # Errors
+    /// The first thing that can't be read or is missing.
+    pub fn verify(&self) -> Result<Verified> {
+        let entries = self.entries(..)?;
+        let purged: Option<LogId> = self.get("purged")?;
+        let first = purged.map_or(0, |purged| purged.index + 1);
+        for (entry, index) in entries.iter().zip(first..) {
+            if entry.log_id.index != index {
+                return Err(DiskError::Gap { wanted: index, found: entry.log_id.index });
+            }
+        }
+        let snapshot = crate::machine::kept(self)?.and_then(|applied| applied.last).map(|last| last.index);
+        Ok(Verified { identity: self.identity, first, entries: entries.len(), snapshot })
+    }
+
     /// Whose it is.
     pub fn identity(&self) -> Identity {
         self.identity
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,10 +1,13 @@
 //! Configuration and state that outlive every restart, in a small store that a node's siblings keep together.
 //!
 //! Pure: [`state`] is what is kept, [`freshness`] which of it may be acted on, [`members`] who belongs. [`disk`] and
-//! [`machine`] give it to the consensus engine, [`replica`] is the running whole, over any [`replica::Transport`].
+//! [`machine`] give it to the consensus engine, [`replica`] is the running whole, over any [`replica::Transport`];
+//! [`wire`] is the one over TCP. [`daemon`] runs it beside a node, [`client`] asks it from outside.
 #![warn(missing_docs)]
 
+pub mod client;
 pub mod codec;
+pub mod daemon;
 pub mod disk;
 pub mod engine;
 pub mod freshness;
@@ -13,3 +16,4 @@
 pub mod message;
 pub mod replica;
 pub mod state;
+pub mod wire;
--- a/crates/store/src/machine.rs
+++ b/crates/store/src/machine.rs
@@ -65,8 +65,7 @@
     /// If the snapshot can't be read.
     pub fn new(disk: Disk, applied: watch::Sender<u64>) -> Result<Machine, DiskError> {
         let shared = Shared::default();
-        if let Some(Kept { sealed, .. }) = disk.get::<Kept>("snapshot")? {
-            let kept: Applied = codec::unseal(WHAT, &sealed)?;
+        if let Some(kept) = kept(&disk)? {
             shared.change(|applied| *applied = kept);
         }
         Ok(Machine { disk, shared, applied })
@@ -83,6 +82,12 @@
     }
 }
 
+/// The state of a disk's latest snapshot.
+pub(crate) fn kept(disk: &Disk) -> Result<Option<Applied>, DiskError> {
+    let kept: Option<Kept> = disk.get("snapshot")?;
+    Ok(kept.map(|kept| codec::unseal(WHAT, &kept.sealed)).transpose()?)
+}
+
 fn apply(applied: &mut Applied, entry: Entry) -> Reply {
     applied.last = Some(entry.log_id);
     match entry.payload {
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -92,7 +92,9 @@
 /// # Errors
 /// Why it is not.
 pub fn admit(hello: &Hello, cluster: u128, me: MemberId, members: &Members) -> Result<(), MembersError> {
-    if hello.cluster != cluster {
+    // Whoever has the key may ask the one cluster that is there, without naming it.
+    let unnamed = hello.party == Party::Client && hello.cluster == 0;
+    if hello.cluster != cluster && !unnamed {
         return Err(MembersError::Stranger { theirs: hello.cluster, ours: cluster });
     }
     let Party::Member(member) = hello.party else { return Ok(()) };
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -388,6 +388,33 @@
     }
 }
 
+/// Makes a disk's member the first and only one of its cluster, to be reached at this address.
+///
+/// # Errors
+/// If its disk can't be used, or the cluster has members already.
+pub async fn bootstrap(disk: Disk, addr: String) -> Result<(), StartError> {
+    let replica = Replica::start(disk, Options::at(addr), Nobody).await?;
+    let done = replica.bootstrap().await;
+    replica.stop().await;
+    done.map_err(|error| StartError::Engine(error.to_string()))
+}
+
+/// Reaches nobody.
+#[derive(Clone)]
+struct Nobody;
+
+impl Transport for Nobody {
+    fn ask(
+        &self,
+        _: MemberId,
+        _: &str,
+        _: Request,
+        _: Duration,
+    ) -> BoxFuture<'static, Result<Response, Unavailable>> {
+        Box::pin(async { Err(Unavailable::Unreachable("there is nobody else".into())) })
+    }
+}
+
 /// Why a replica can't start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
--- a/crates/store/src/state.rs
+++ b/crates/store/src/state.rs
@@ -72,6 +72,11 @@
         /// The time.
         before_ms: u64,
     },
+    /// Everything from another cluster's snapshot, into a store that holds nothing yet.
+    Restore {
+        /// What it kept.
+        state: Box<State>,
+    },
 }
 
 /// What an operator ordered for a server.
@@ -131,6 +136,9 @@
         /// How many there may be.
         most: u64,
     },
+    /// Something is kept already.
+    #[error("the store holds something already: restore into a new one")]
+    NotEmpty,
     /// A later proposal of the same client was carried out before.
     #[error("proposal {sequence} comes after a later one of its client, {last}")]
     Superseded {
@@ -268,7 +276,23 @@
                 self.orders.retain(|_, order| order.out || order.since_ms >= before_ms);
                 Ok(index)
             }
+            Change::Restore { state } => self.restore(index, *state),
+        }
+    }
+
+    /// Members and clients are this cluster's own; of documents the latest revision is taken, numbered anew.
+    fn restore(&mut self, index: u64, mut from: State) -> Result<u64, Refusal> {
+        if !(self.documents.is_empty() && self.list.is_none() && self.orders.is_empty()) {
+            return Err(Refusal::NotEmpty);
+        }
+        from.documents.retain(|_, revisions| !revisions.is_empty());
+        for revisions in from.documents.values_mut() {
+            revisions.drain(..revisions.len() - 1);
+            revisions[0].revision = index;
         }
+        let (clients, removed) = (std::mem::take(&mut self.clients), std::mem::take(&mut self.removed));
+        *self = State { clients, removed, ..from };
+        Ok(index)
     }
 
     fn write(&mut self, name: String, new: Revision, after: Option<u64>) -> Result<u64, Refusal> {
--- /dev/null
+++ b/crates/store/src/wire/gate.rs
@@ -0,0 +1,49 @@
+//! Who may connect: a bound on all, and a pause for an address whose callers fail to prove themselves. Pure.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+
+/// Connections at a time.
+pub const CONNECTIONS: usize = 64;
+/// So many failures within the time are borne; then the address is not heard until the time is over.
+const FAILURES: u32 = 10;
+const TIME_MS: u64 = 10_000;
+/// Addresses that are remembered.
+const ADDRESSES: usize = 1_000;
+
+/// Counts connections and failures.
+#[derive(Debug, Default)]
+pub struct Gate {
+    open: usize,
+    /// Failures of an address, and since when they are counted.
+    failed: HashMap<IpAddr, (u32, u64)>,
+    /// Connections that were not heard.
+    pub turned_away: u64,
+}
+
+impl Gate {
+    /// Whether a connection from an address is heard; if so it is open until [`closed`](Gate::closed).
+    pub fn admit(&mut self, from: IpAddr, now_ms: u64) -> bool {
+        self.failed.retain(|_, (_, since)| now_ms.saturating_sub(*since) < TIME_MS);
+        let barred = self.failed.get(&from).is_some_and(|(failures, _)| *failures >= FAILURES);
+        if barred || self.open >= CONNECTIONS {
+            self.turned_away += 1;
+            return false;
+        }
+        self.open += 1;
+        true
+    }
+
+    /// A connection is closed.
+    pub fn closed(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// A caller has not proved itself.
+    pub fn failed(&mut self, from: IpAddr, now_ms: u64) {
+        if self.failed.len() < ADDRESSES || self.failed.contains_key(&from) {
+            let (failures, _) = self.failed.entry(from).or_insert((0, now_ms));
+            *failures = failures.saturating_add(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/wire/mod.rs
@@ -0,0 +1,15 @@
+//! The way between replicas and to clients: framed and bounded messages over TCP, of which nothing is read any
+//! further before both sides have proved that they have the same key. It does not hide what it carries; TLS beneath
+//! it does.
+
+mod frames;
+mod gate;
+mod handshake;
+mod keys;
+mod tcp;
+
+pub use frames::{FrameError, MESSAGE, Opener, Sealer};
+pub use gate::Gate;
+pub use handshake::{Asked, Asking, HELLO, HandshakeError, PROOF, WELCOME, Welcoming};
+pub use keys::{Key, KeyError, Keys};
+pub use tcp::{Tcp, serve};
--- /dev/null
+++ b/crates/store/tests/wire.rs
@@ -0,0 +1,230 @@
+//! The way between replicas against those who should not be heard: no key, another key, what was said before, what is
+//! cut, changed, endless or silent.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use stonefold_store::disk::{Disk, Identity};
+use stonefold_store::engine::Entry;
+use stonefold_store::message::{Request, Response, Unavailable};
+use stonefold_store::replica::{Options, Replica, Transport};
+use stonefold_store::state::{Change, Order, Proposal, Reply};
+use stonefold_store::wire::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn key(n: u8) -> Key {
+    Key::new([n; 32])
+}
+
+fn keys(n: u8) -> Keys {
+    Keys::new(key(n), None)
+}
+
+/// Both ends of a connection whose sides have proved themselves.
+fn shaken(asking: &Keys, welcoming: &Keys) -> Result<(Key, Key), HandshakeError> {
+    let (asks, hello) = Asking::new(asking, [1; 32]);
+    let (welcomes, welcome) = Welcoming::new(welcoming, &hello, [2; 32])?;
+    let (mine, proof) = asks.welcomed(&welcome)?;
+    Ok((mine, welcomes.proved(&proof)?))
+}
+
+#[test]
+fn both_sides_prove_the_key_and_two_are_believed_while_it_is_changed() {
+    let (old, both) = (keys(1), Keys::new(key(2), Some(key(1))));
+    for (asking, welcoming) in [(&old, &both), (&both, &both), (&old, &old)] {
+        let (mine, theirs) = shaken(asking, welcoming).unwrap();
+        assert_eq!(mine, theirs);
+    }
+    assert_eq!(shaken(&keys(2), &old).unwrap_err(), HandshakeError::Unknown);
+    // A hello that names a key it does not have, and a welcome by somebody who has not got it.
+    let (asks, hello) = Asking::new(&old, [1; 32]);
+    assert_eq!(asks.welcomed(&[7; WELCOME]).unwrap_err(), HandshakeError::Proof);
+    let (welcomes, _) = Welcoming::new(&old, &hello, [2; 32]).unwrap();
+    assert_eq!(welcomes.proved(&[0; PROOF]).unwrap_err(), HandshakeError::Proof);
+    assert_eq!(Welcoming::new(&old, &[b'G'; HELLO], [2; 32]).err(), Some(HandshakeError::Magic));
+}
+
+#[test]
+fn what_was_said_before_proves_nothing() {
+    // All that one side said on another connection, said again: the other side's nonce is another one now.
+    let (asks, hello) = Asking::new(&keys(1), [1; 32]);
+    let (_, welcome) = Welcoming::new(&keys(1), &hello, [2; 32]).unwrap();
+    let (_, proof) = asks.welcomed(&welcome).unwrap();
+    let (again, _) = Welcoming::new(&keys(1), &hello, [3; 32]).unwrap();
+    assert_eq!(again.proved(&proof).unwrap_err(), HandshakeError::Proof);
+    // And the welcome, to another hello.
+    let (other, _) = Asking::new(&keys(1), [4; 32]);
+    assert_eq!(other.welcomed(&welcome).unwrap_err(), HandshakeError::Proof);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn a_message_is_read_as_it_was_sent_or_not_at_all(body in proptest::collection::vec(any::<u8>(), 0..200), place in any::<prop::sample::Index>()) {
+        let (mut sealer, mut opener) = (Sealer::new(key(1), true), Opener::new(key(1), true));
+        let frame = sealer.seal(&body).unwrap();
+        let head = frame[..4].try_into().unwrap();
+        prop_assert_eq!(opener.length(head).unwrap(), frame.len() - 4);
+        let mut changed = frame[4..].to_vec();
+        let at = place.index(changed.len());
+        changed[at] ^= 1;
+        prop_assert!(opener.open(&changed).is_err() && opener.open(&frame[4..4 + at]).is_err());
+        prop_assert_eq!(opener.open(&frame[4..]).unwrap(), &body[..]);
+        // Once more, later than another, or sent back.
+        prop_assert_eq!(opener.open(&frame[4..]), Err(FrameError::Mac));
+        let (left_out, next) = (sealer.seal(b"1").unwrap(), sealer.seal(b"2").unwrap());
+        prop_assert!(opener.open(&next[4..]).is_err() && opener.open(&left_out[4..]).is_ok());
+        prop_assert!(Opener::new(key(1), false).open(&frame[4..]).is_err());
+    }
+
+    #[test]
+    fn bytes_that_nobody_wrote_are_refused_and_nothing_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let framed = [&[1u8], &bytes[..]].concat();
+        let _ = stonefold_store::codec::decode::<Request>("a question", &framed);
+        let _ = stonefold_store::codec::decode::<Response>("an answer", &framed);
+        let _ = stonefold_store::codec::decode::<Entry>("a log entry", &framed);
+        let _ = stonefold_store::machine::open_snapshot(&bytes);
+    }
+}
+
+#[test]
+fn an_address_whose_callers_prove_nothing_is_not_heard_for_a_while_and_others_are() {
+    let (mut gate, bad, good) = (Gate::default(), IpAddr::from([127, 0, 0, 2]), IpAddr::from([127, 0, 0, 1]));
+    for _ in 0..10 {
+        assert!(gate.admit(bad, 0));
+        gate.failed(bad, 0);
+        gate.closed();
+    }
+    assert!(!gate.admit(bad, 9_999) && gate.admit(good, 9_999));
+    gate.closed();
+    assert!(gate.admit(bad, 10_000), "its time is over");
+    let more = (0..100).filter(|_| gate.admit(good, 10_000)).count();
+    assert_eq!(more, 63, "and 64 at a time in all");
+    assert_eq!(gate.turned_away, 1 + 37);
+}
+
+struct Served {
+    addr: String,
+    replica: Replica<Tcp>,
+    tcp: Tcp,
+    stop: CancellationToken,
+    _dir: tempfile::TempDir,
+}
+
+async fn served() -> Served {
+    let dir = tempfile::tempdir().unwrap();
+    let disk = Disk::create(dir.path(), Identity { cluster: 9, member: 1 }).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let tcp = Tcp::member(keys(1), 9, 1, addr.clone());
+    let replica = Replica::start(disk, Options::at(addr.clone()), tcp.clone()).await.unwrap();
+    replica.bootstrap().await.unwrap();
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, replica.clone(), tcp.clone(), stop.clone()));
+    replica.confirm(Instant::now() + PATIENCE).await.unwrap();
+    Served { addr, replica, tcp, stop, _dir: dir }
+}
+
+fn order(sequence: u64) -> Request {
+    let change = Change::Order { server: "s-1".into(), order: Order { out: true, since_ms: sequence } };
+    Request::Propose(Proposal { client: 5, sequence, change })
+}
+
+#[tokio::test]
+async fn a_proposal_sent_again_after_a_lost_answer_is_made_once() {
+    let served = served().await;
+    let client = Tcp::client(keys(1), 9);
+    let mut answers = Vec::new();
+    for _ in 0..3 {
+        match client.ask(1, &served.addr, order(1), PATIENCE).await.unwrap() {
+            Response::Proposed(Ok(reply)) => answers.push(reply),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(matches!(answers[0], Reply::Done(_)) && answers.iter().all(|answer| *answer == answers[0]));
+    served.stop.cancel();
+}
+
+#[tokio::test]
+async fn strangers_get_nothing_and_members_alone_speak_of_elections() {
+    let served = served().await;
+    let ask = |tcp: Tcp, request| {
+        let addr = served.addr.clone();
+        async move { tcp.ask(1, &addr, request, PATIENCE).await }
+    };
+    for (tcp, why) in [
+        (Tcp::client(keys(2), 9), "127.0.0.1"),
+        (Tcp::client(keys(1), 8), "is not ours"),
+        (Tcp::member(keys(1), 9, 4, "127.0.0.1:4".into()), "is not a member"),
+        (Tcp::member(keys(1), 9, 1, served.addr.clone()), "its disk a copy"),
+    ] {
+        match ask(tcp, Request::Status).await {
+            Err(Unavailable::Unreachable(told)) => assert!(told.contains(why), "{told}"),
+            other => panic!("{other:?}"),
+        }
+    }
+    // One that was removed and goes on campaigning bars nobody else at its address.
+    for _ in 0..30 {
+        let removed = Tcp::member(keys(1), 9, 4, "127.0.0.1:4".into());
+        let vote = Request::Vote(openraft::raft::VoteRequest::new(openraft::Vote::new(50, 4), None));
+        assert!(ask(removed, vote).await.is_err());
+    }
+    let vote = Request::Vote(openraft::raft::VoteRequest::new(openraft::Vote::new(99, 4), None));
+    match ask(Tcp::client(keys(1), 9), vote).await.unwrap() {
+        Response::Changed(Err(Unavailable::Refused(why))) => assert!(why.contains("only members"), "{why}"),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(served.replica.status().term, 1, "no election came of it");
+    // With a second key known, both are heard; once the first is gone its holder is not.
+    served.tcp.set_keys(Keys::new(key(2), Some(key(1))));
+    assert!(ask(Tcp::client(keys(2), 9), Request::Status).await.is_ok());
+    assert!(ask(Tcp::client(keys(1), 9), Request::Status).await.is_ok());
+    served.tcp.set_keys(keys(2));
+    assert!(ask(Tcp::client(keys(1), 9), Request::Status).await.is_err());
+    served.stop.cancel();
+}
+
+#[tokio::test]
+async fn noise_floods_and_silence_hold_nothing_up() {
+    let served = served().await;
+    let mut silent = Vec::new();
+    for _ in 0..20 {
+        silent.push(TcpStream::connect(&served.addr).await.unwrap()); // says nothing, ever
+    }
+    for noise in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 4096], b"SFR1"] {
+        let mut stream = TcpStream::connect(&served.addr).await.unwrap();
+        stream.write_all(noise).await.unwrap();
+        let _ = stream.shutdown().await;
+        let mut answer = Vec::new();
+        let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await.unwrap();
+        assert!(answer.is_empty(), "{answer:?}");
+    }
+    let status = Tcp::client(keys(1), 9).ask(1, &served.addr, Request::Status, PATIENCE).await;
+    assert!(matches!(status, Ok(Response::Status(_))), "{status:?}");
+    served.stop.cancel();
+}
+
+#[test]
+fn a_key_file_is_its_owners_alone_and_says_what_is_wrong_with_it() {
+    use std::os::unix::fs::PermissionsExt;
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("key");
+    Keys::make(&path).unwrap();
+    assert!(Keys::read(&path).is_ok() && Keys::make(&path).is_err());
+    let write = |text: &str| std::fs::write(&path, text).unwrap();
+    let told = || Keys::read(&path).unwrap_err().to_string();
+    write("# nothing\n");
+    assert!(told().contains("0 keys"), "{}", told());
+    write(&format!("{}\n{}\n", "ab".repeat(32), "xy".repeat(32)));
+    assert!(told().contains(":2: no key"), "{}", told());
+    write(&"ab".repeat(32));
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o644)).unwrap();
+    assert!(told().contains("644"), "{}", told());
+}
