--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fakes::*;
 
@@ -43,6 +43,26 @@
     cluster: String,
 }
 
+/// What a node is told beside its store.
+fn own(discovery: SocketAddr) -> String {
+    format!(
+        r#"
+[node]
+listen = "127.0.0.1:0"
+discovery = "{discovery}"
+operator = "127.0.0.1:0"
+[fleet]
+zones = ["a"]
+subscribe = false
+[[class]]
+name = "read"
+aim = "300ms"
+deadline = "2s"
+effect = "safe"
+"#
+    )
+}
+
 struct Member {
     child: Child,
     clients: SocketAddr,
@@ -105,27 +125,14 @@
     }
 
     fn start(&self, n: usize, discovery: SocketAddr, wait: &str) -> Member {
+        self.start_with(n, &own(discovery), wait)
+    }
+
+    /// Starts a member with this configuration, and its store beside it.
+    fn start_with(&self, n: usize, own: &str, wait: &str) -> Member {
         let (store, dir) = (self.stores[n], self.path(&format!("m{n}")));
         let config = format!(
-            r#"
-[node]
-listen = "127.0.0.1:0"
-discovery = "{discovery}"
-operator = "127.0.0.1:0"
-[store]
-dir = "{dir}"
-listen = "{store}"
-key_file = "{key}"
-wait = "{wait}"
-[fleet]
-zones = ["a"]
-subscribe = false
-[[class]]
-name = "read"
-aim = "300ms"
-deadline = "2s"
-effect = "safe"
-"#,
+            "{own}\n[store]\ndir = \"{dir}\"\nlisten = \"{store}\"\nkey_file = \"{key}\"\nwait = \"{wait}\"\n",
             key = self.key.display()
         );
         let file = self.path(&format!("node{n}.toml"));
@@ -165,9 +172,9 @@
 
     /// Waits until a figure has a value.
     fn until(&self, name: &str, value: &str) {
-        let end = std::time::Instant::now() + PATIENCE;
+        let end = Instant::now() + PATIENCE;
         while self.figure(name) != value {
-            assert!(std::time::Instant::now() < end, "{name} is {}, not {value}", self.figure(name));
+            assert!(Instant::now() < end, "{name} is {}, not {value}", self.figure(name));
             std::thread::sleep(Duration::from_millis(20));
         }
     }
@@ -334,3 +341,70 @@
             .contains("no store here")
     );
 }
+
+const EMULATED: &str = r#"
+name = "three"
+nodes = 3
+rate = 120
+[[cache]]
+count = 6
+[origin]
+time = "5ms"
+[keys]
+count = 200
+held = 1.0
+[[class]]
+name = "read"
+share = 1
+work = "2ms"
+aim = "1s"
+deadline = "2s"
+effect = "safe"
+"#;
+
+/// Runs for some seconds; for longer where `STORE_TRIAL_S` says so.
+#[test]
+fn killed_at_random_under_load_nothing_is_lost_and_no_rule_broken() {
+    let seconds = std::env::var("STORE_TRIAL_S").ok().and_then(|text| text.parse().ok()).unwrap_or(4);
+    let site: stonefold_model::site::Site = toml::from_str(EMULATED).unwrap();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let started = stonefold_emulator::Emulator::start(site, Default::default());
+    let emulator = runtime.block_on(started).unwrap();
+    let stores = Site::new(3);
+    // Each comes back where it was: the load goes on to the same addresses.
+    let (clients, any) = ([0; 3].map(|_| free()), "127.0.0.1:0".parse().unwrap());
+    let config = |n: usize| toml::to_string(&emulator.config(n, clients[n], Some(any)).unwrap()).unwrap();
+    let start = |n: usize, wait: &str| stores.start_with(n, &config(n), wait);
+    let mut nodes = [Some(start(0, "10s")), Some(start(1, "0s")), Some(start(2, "0s"))];
+    for (n, member) in [(1, "2"), (2, "3")] {
+        stores.store(0, &["store", "add", member, &stores.stores[n].to_string()]);
+    }
+    let load = stonefold_emulator::Load::new(&emulator, clients.to_vec());
+    let running = runtime.spawn(load.clone().run(120.0, Duration::from_secs(seconds)));
+    fastrand::seed(seconds);
+    let (mut kept, mut kills, begun) = (0, 0, Instant::now());
+    while begun.elapsed() < Duration::from_secs(seconds) {
+        let n = fastrand::usize(..3);
+        nodes[n] = None;
+        kills += 1;
+        let text = stores.path("text");
+        std::fs::write(&text, format!("{kills}")).unwrap();
+        // With two of three a change is taken; what was answered for must be there.
+        let name = format!("d{kills}");
+        stores.store((n + 1) % 3, &["store", "set", &name, &text]);
+        kept += 1;
+        nodes[n] = Some(start(n, "10s"));
+        let got = stores.store(n, &["store", "get", &name]);
+        assert_eq!(got, format!("{kills}"), "what one missed while it was away, it has");
+    }
+    runtime.block_on(running).unwrap();
+    for n in 1..=kept {
+        assert_eq!(stores.store(n % 3, &["store", "get", &format!("d{n}")]), format!("{n}"));
+    }
+    let (figures, verdict) = (load.figures().0, emulator.verdict());
+    println!("{kills} killed, {kept} changes kept, {:?}, {verdict:?}", figures.summary());
+    assert!(kills > 1 && figures.served > 0);
+    // A request that a killed node had taken gets no answer: that is the kill's doing, and all it may do.
+    let broken = verdict.rules_broken() - verdict.lost;
+    assert_eq!(broken, 0, "{verdict:?}");
+}
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -29,8 +29,8 @@
 use crate::state::{Proposal, Reply};
 
 /// Heartbeats of a leader, and how long others wait for one before they campaign, in ms.
-const HEARTBEAT: u64 = 100;
-const ELECTION: (u64, u64) = (300, 600);
+const HEARTBEAT: u64 = 60;
+const ELECTION: (u64, u64) = (200, 400);
 /// Parts of a snapshot, in bytes.
 const PART: u64 = 256 << 10;
 /// Entries in one message; with the largest document it is still within a message's bound.
