Sync what is known committed, and bound what the store's log and messages take

Several lists of 2 MiB in one message exceed its bound and would hold replication up for good; a leader without a quorum wrote every retried change to its log; orders that put servers back were never forgotten, until 20,000 would refuse all; a node read its shared configuration before its start was confirmed, and the pure rule for the end of a start was not used.

Change: the commit index is synced before anything is applied; entries go in as many messages as they need; with 256 entries waiting no more is taken; returns are forgotten by the time of the next order, so that all forget the same, and `Forget` is gone; the daemon asks `Freshness::ready`, and the node waits for it before it reads.

The bound on waiting entries and the split of messages have no test of their own yet.

--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -64,6 +64,8 @@
     let Store { dir, listen, key_file, wait } = store;
     let bound = Duration::from_millis(wait.ms());
     let daemon = daemon::start(Settings { dir, listen, key_file, bound }).map_err(Failure::unusable)?;
+    // What is committed is known before any of it is read.
+    daemon.wait();
     Ok(Stored::new(daemon))
 }
 
--- a/crates/store/src/daemon.rs
+++ b/crates/store/src/daemon.rs
@@ -18,6 +18,8 @@
 
 /// How often the others are asked what is committed, once the start is over; and the key file is looked at.
 const CONFIRM: Duration = Duration::from_secs(1);
+/// How often a caller without a runtime looks.
+const LOOK: Duration = Duration::from_millis(5);
 const STACK: usize = 2 << 20;
 
 /// What a node's store is told.
@@ -65,6 +67,15 @@
     _stop: DropGuard,
 }
 
+impl Daemon {
+    /// Waits until the start is over, or the store has ended; for a caller without a runtime.
+    pub fn wait(&self) {
+        while !*self.ready.borrow() && self.ready.has_changed().is_ok() {
+            thread::sleep(LOOK);
+        }
+    }
+}
+
 /// Starts a store on a thread of its own.
 ///
 /// # Errors
@@ -118,12 +129,16 @@
     stop: CancellationToken,
 ) {
     let serving = tokio::spawn(serve(listener, replica.clone(), tcp.clone(), stop.clone()));
-    let first = replica.confirm(Instant::now() + settings.bound).await;
-    if let Err(error) = &first {
-        warn!(event = "store_unconfirmed", %error, "the node goes by its own disk, which may be behind");
+    let mut first = Ok(());
+    while !replica.freshness(|freshness, now| freshness.ready(now)) {
+        first = replica.confirm(Instant::now() + settings.bound.min(CONFIRM)).await;
+    }
+    let mut confirmed = replica.freshness(|freshness, _| freshness.is_confirmed());
+    if !confirmed {
+        let error = first.err().map(|error| error.to_string());
+        warn!(event = "store_unconfirmed", error, "the node goes by its own disk, which may be behind");
     }
     ready.send_replace(true);
-    let mut confirmed = first.is_ok();
     while !stop.is_cancelled() {
         tokio::select! {
             () = stop.cancelled() => {}
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -320,10 +320,9 @@
     }
 
     async fn save_committed(&mut self, committed: Option<LogId>) -> Result<(), StorageError> {
-        // It is synced by the next append: what it tells is known to the others too.
-        let mut lazy = self.clone();
-        lazy.durability = Durability::None;
-        lazy.put("committed", &committed).map_err(writing)
+        // Synced, before anything is applied. Guards against: a node that after a power cut and without a quorum goes
+        // by an older list or configuration than it has acted on.
+        self.put("committed", &committed).map_err(writing)
     }
 
     async fn read_committed(&mut self) -> Result<Option<LogId>, StorageError> {
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -7,8 +7,8 @@
 
 use futures_util::future::{BoxFuture, join_all};
 use openraft::error::{
-    CheckIsLeaderError, ClientWriteError, InstallSnapshotError, NetworkError, RPCError, RaftError,
-    RemoteError, Unreachable,
+    CheckIsLeaderError, ClientWriteError, InstallSnapshotError, NetworkError, PayloadTooLarge, RPCError,
+    RaftError, RemoteError, Unreachable,
 };
 use openraft::network::{Backoff, RPCOption, RaftNetwork, RaftNetworkFactory};
 use openraft::raft::{
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::info;
 
+use crate::codec;
 use crate::disk::{Disk, DiskError, Identity};
 use crate::engine::{MemberId, Raft, Types};
 use crate::freshness::Freshness;
@@ -27,16 +28,20 @@
 use crate::members::{self, Member, Members};
 use crate::message::{Party, Request, Response, Status, Unavailable};
 use crate::state::{Proposal, Reply};
+use crate::wire::MESSAGE;
 
 /// Heartbeats of a leader, and how long others wait for one before they campaign, in ms.
 const HEARTBEAT: u64 = 60;
 const ELECTION: (u64, u64) = (200, 400);
 /// Parts of a snapshot, in bytes.
 const PART: u64 = 256 << 10;
-/// Entries in one message; with the largest document it is still within a message's bound.
+/// Entries in one message, if they fit; and what stands round them in it, in bytes.
 const BATCH: u64 = 24;
+const ROOM: usize = 64 << 10;
 /// Changes that wait for a quorum at a time.
 const CHANGES: usize = 64;
+/// Entries that wait for a quorum: without one, nothing more is written to the log.
+const WAITING: u64 = 256;
 /// A change, a question to a quorum, a new member's catching up.
 const IN_TIME: Duration = Duration::from_secs(3);
 const CATCH_UP: Duration = Duration::from_secs(30);
@@ -266,6 +271,15 @@
 
     async fn write(&self, proposal: Proposal) -> Result<Reply, Unavailable> {
         let _one = self.changes.try_acquire().map_err(|_| Unavailable::Busy)?;
+        // Guards against: a leader that has lost its quorum, whose log grows with every change that is tried again.
+        let (last, applied) = {
+            let metrics = self.raft.metrics();
+            let metrics = metrics.borrow();
+            (metrics.last_log_index.unwrap_or(0), metrics.last_applied.map_or(0, |applied| applied.index))
+        };
+        if last.saturating_sub(applied) >= WAITING {
+            return Err(Unavailable::NoQuorum);
+        }
         match timeout(IN_TIME, self.raft.client_write(proposal)).await {
             Ok(Ok(done)) => Ok(done.data),
             Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(to)))) => {
@@ -487,12 +501,26 @@
     RPCError::Network(NetworkError::new(&why))
 }
 
+/// How many entries fit into a message, where not all do; at least one, which always fits.
+fn too_many(request: &AppendEntriesRequest<Types>) -> Option<u64> {
+    let size = |entry| codec::encode("a log entry", entry).map_or(0, |bytes| bytes.len());
+    let sums = request.entries.iter().scan(0, |sum, entry| {
+        *sum += size(entry);
+        Some(*sum)
+    });
+    let fit = sums.take_while(|&sum| sum < MESSAGE - ROOM).count();
+    (fit < request.entries.len() && request.entries.len() > 1).then(|| fit.max(1) as u64)
+}
+
 impl<T: Transport> RaftNetwork<Types> for Way<T> {
     async fn append_entries(
         &mut self,
         request: AppendEntriesRequest<Types>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<MemberId>, Failure> {
+        if let Some(fit) = too_many(&request) {
+            return Err(PayloadTooLarge::new_entries_hint(fit).into());
+        }
         match self.ask(Request::Append(request), option).await? {
             Response::Append(answer) => self.settle(answer),
             other => Err(unasked(&other)),
--- a/crates/store/src/state.rs
+++ b/crates/store/src/state.rs
@@ -15,10 +15,14 @@
 /// All texts of documents together, in bytes; older revisions give way.
 pub const TEXTS: usize = 4 << 20;
 /// Orders for servers, and servers whose starts are remembered.
-pub const SERVERS: usize = 20_000;
+pub const SERVERS: usize = 12_000;
+/// An order that put a server back is forgotten after this time, in ms: it is warm by then.
+const REMEMBERED: u64 = 600_000;
+/// The longest id of a server, in bytes.
+pub const ID: usize = 128;
 /// Clients whose last proposal is remembered.
 pub const CLIENTS: usize = 1_000;
-/// The longest name, author or server id, in bytes.
+/// The longest name or author, in bytes.
 pub const NAME: usize = 256;
 
 /// A change, as a client proposes it. A client numbers its proposals, so that one which is sent again after a lost
@@ -67,11 +71,6 @@
         /// What is ordered.
         order: Order,
     },
-    /// Orders that put servers back before this time, in ms of Unix time, are forgotten.
-    Forget {
-        /// The time.
-        before_ms: u64,
-    },
     /// Everything from another cluster's snapshot, into a store that holds nothing yet.
     Restore {
         /// What it kept.
@@ -266,16 +265,15 @@
                 self.learn(Listed { version, text, learned_by }, started)
             }
             Change::Order { server, order } => {
-                short("a server's id", server.len(), NAME)?;
+                short("a server's id", server.len(), ID)?;
+                // By the time that the order tells, so that all replicas forget the same.
+                let fresh = |old: &Order| old.out || order.since_ms.saturating_sub(old.since_ms) < REMEMBERED;
+                self.orders.retain(|_, old| fresh(old));
                 let new = usize::from(!self.orders.contains_key(&server));
                 few("orders", self.orders.len() + new, SERVERS)?;
                 self.orders.insert(server, order);
                 Ok(index)
             }
-            Change::Forget { before_ms } => {
-                self.orders.retain(|_, order| order.out || order.since_ms >= before_ms);
-                Ok(index)
-            }
             Change::Restore { state } => self.restore(index, *state),
         }
     }
@@ -336,8 +334,10 @@
         if list.version <= known {
             return Err(Refusal::OldList { told: list.version, known });
         }
+        if let Some((long, _)) = started.iter().find(|(server, _)| server.len() > ID) {
+            short("a server's id", long.len(), ID)?;
+        }
         for (server, at) in started {
-            short("a server's id", server.len(), NAME)?;
             let last = self.started.entry(server).or_insert(at);
             *last = at.max(*last); // never back: a list may tell what was before
         }
--- a/crates/store/src/wire/frames.rs
+++ b/crates/store/src/wire/frames.rs
@@ -3,8 +3,8 @@
 
 use super::keys::Key;
 
-/// The longest message, in bytes: what [`BATCH`](crate::replica) entries with the largest documents take.
-pub const MESSAGE: usize = 8 << 20;
+/// The longest message, in bytes: all that a store may keep fits into one.
+pub const MESSAGE: usize = 12 << 20;
 /// The length before a message, and the MAC behind it.
 pub const HEAD: usize = 4;
 const TAIL: usize = 16;
--- a/crates/store/tests/storage.rs
+++ b/crates/store/tests/storage.rs
@@ -47,11 +47,13 @@
         let mut disk = Disk::on(platter.clone(), MINE).unwrap();
         disk.save_vote(&Vote::new(3, 2)).await.unwrap();
         disk.blocking_append((1..=5).map(entry)).await.unwrap();
-        // Not synced yet when the power goes, in whatever part it has come to the disk.
         disk.save_committed(Some(entry(5).log_id)).await.unwrap();
+        // Not synced yet when the power goes, in whatever part it has come to the disk.
+        disk.clone().unsynced().save_vote(&Vote::new(3, 2)).await.unwrap();
         let mut again = Disk::on(platter.after_power_cut(), MINE).unwrap();
         assert_eq!(again.entries(..).unwrap(), (1..=5).map(entry).collect::<Vec<_>>(), "seed {seed}");
         assert_eq!(again.read_vote().await.unwrap(), Some(Vote::new(3, 2)));
+        assert_eq!(again.read_committed().await.unwrap(), Some(entry(5).log_id));
     }
 }
 
