--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -265,13 +265,15 @@
         std::fs::write(&file, text).unwrap();
         file
     };
-    let class = "[[class]]\nname = \"audio\"\naim = \"1s\"\ndeadline = \"2s\"\neffect = \"safe\"\n";
+    let class = ["audio", "read"].map(|name| {
+        format!("[[class]]\nname = \"{name}\"\naim = \"1s\"\ndeadline = \"2s\"\neffect = \"safe\"\n")
+    });
     for (bad, why) in [("[[class]]\nname = 3", "class[0]"), ("[node]\nname = \"x\"", "each node's own")] {
         let (code, told) = site.refused(0, &["config", "push", &shared(bad)]);
         assert!(code == 2 && told.contains(why), "{code}: {told}");
     }
     assert!(nodes[0].read("c=audio,d=2000").starts_with("-ERR"));
-    site.store(2, &["config", "push", &shared(class)]);
+    site.store(2, &["config", "push", &shared(&class.concat())]);
     let audio = |node: &Member| !node.read("c=audio,d=50").contains("class");
     assert!(nodes.iter().all(audio));
 
