--- a/crates/cli/src/commands/store.rs
+++ b/crates/cli/src/commands/store.rs
@@ -12,15 +12,13 @@
 use stonefold_store::message::{Request, Status};
 use stonefold_store::replica::bootstrap;
 use stonefold_store::state::{Change, Reply, Revision};
-use stonefold_store::wire::Keys;
+use stonefold_store::wire::{Keys, MESSAGE};
 use tokio::time::{Instant, sleep};
 
 use crate::args::{ConfigCommand, Format, ReachArgs, StoreCommand};
 use crate::failure::Failure;
 use crate::shared::CONFIG;
 
-/// The longest snapshot that is read, in bytes.
-const SNAPSHOT: u64 = 8 << 20;
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Makes, asks or changes a store.
@@ -249,7 +247,7 @@
 async fn restore(file: &Path, reach: &ReachArgs) -> Result<(), Failure> {
     let failed = |error: io::Error| Failure::unusable(format!("{}: {error}", file.display()));
     let mut sealed = Vec::new();
-    fs::File::open(file).map_err(failed)?.take(SNAPSHOT).read_to_end(&mut sealed).map_err(failed)?;
+    fs::File::open(file).map_err(failed)?.take(MESSAGE as u64).read_to_end(&mut sealed).map_err(failed)?;
     let kept = open_snapshot(&sealed).map_err(Failure::unusable)?;
     let change = Change::Restore { state: Box::new(kept.state) };
     made(&mut client(reach)?, change).await.map(drop)
@@ -262,7 +260,10 @@
     let flags = ["node.listen=127.0.0.1:1", "node.discovery=127.0.0.1:1"].map(String::from).to_vec();
     load::<Tree>(&Layers { shared, flags, ..Layers::default() }).map_err(Failure::unusable)?;
     let mut client = client(reach)?;
-    let revision = write(&mut client, CONFIG, text, None).await?;
+    // Of two pushes at once the second is told so, and not made unseen over the first.
+    let latest = client.document(CONFIG, false).await.map_err(Failure::failed)?;
+    let after = latest.last().map_or(0, |latest| latest.revision);
+    let revision = write(&mut client, CONFIG, text, Some(after)).await?;
     told(reach, revision)?;
     let until = Instant::now() + wait;
     loop {
--- a/crates/cli/src/shared.rs
+++ b/crates/cli/src/shared.rs
@@ -9,7 +9,7 @@
 use stonefold_proto::list::List;
 use stonefold_store::daemon::Daemon;
 use stonefold_store::freshness::Verdict;
-use stonefold_store::state::{self, Change, Proposal, Reply};
+use stonefold_store::state::{self, Change, Proposal, Refusal, Reply};
 use tokio::time::{Instant, sleep};
 use tracing::warn;
 
@@ -21,6 +21,8 @@
 /// A list is proposed for so long, and then again after a pause.
 const LIST: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_secs(1);
+/// Nodes that learn a list together propose it at different times within this.
+const SPREAD: Duration = Duration::from_millis(100);
 
 /// A list that the others are to be told.
 struct Learned {
@@ -52,10 +54,9 @@
         Some((latest.revision, latest.text.clone()))
     }
 
-    async fn propose(&self, change: Change, within: Duration) -> Result<Reply, String> {
+    async fn propose(&self, change: Change, until: Instant) -> Result<Reply, String> {
         // Each proposal is a client's only one: none can be overtaken by another.
         let proposal = Proposal { client: fastrand::u64(..), sequence: 1, change };
-        let until = Instant::now() + within;
         self.daemon.replica.propose(proposal, until).await.map_err(|error| error.to_string())
     }
 
@@ -81,10 +82,21 @@
         while let Some(Learned { version, text, started }) = self.next() {
             let learned_by = self.daemon.replica.identity().member;
             let change = Change::List { version, text: text.clone(), learned_by, started: started.clone() };
-            if let Err(error) = self.propose(change, LIST).await {
-                warn!(event = "list_not_kept", version, error, "the list is proposed again");
-                self.put_back(Learned { version, text, started });
-                sleep(PAUSE).await;
+            // Guards against: all nodes that learn a list at once, of which each writes it to the log.
+            sleep(SPREAD.mul_f64(fastrand::f64())).await;
+            if self.committed() >= version {
+                continue;
+            }
+            match self.propose(change, Instant::now() + LIST).await {
+                Ok(Reply::Done(_) | Reply::Nothing | Reply::Refused(Refusal::OldList { .. })) => {}
+                Ok(Reply::Refused(error)) => {
+                    warn!(event = "list_refused", version, %error, "the others are not told of the list");
+                }
+                Err(error) => {
+                    warn!(event = "list_not_kept", version, error, "the list is proposed again");
+                    self.put_back(Learned { version, text, started });
+                    sleep(PAUSE).await;
+                }
             }
         }
     }
@@ -113,12 +125,12 @@
         let order = state::Order { out: order.out, since_ms: order.since_ms };
         Box::pin(async move {
             let change = Change::Order { server: server.clone(), order };
-            match self.propose(change, ORDER).await? {
+            let until = Instant::now() + ORDER;
+            match self.propose(change, until).await? {
                 Reply::Refused(why) => return Err(why.to_string()),
                 Reply::Done(_) | Reply::Nothing => {}
             }
             // Committed by whoever leads; here it may be applied a moment later.
-            let until = Instant::now() + ORDER;
             while self.daemon.replica.shared().read().state.orders().get(&server) != Some(&order) {
                 if Instant::now() >= until {
                     return Err("kept, but not in force here yet: ask again".into());
@@ -129,9 +141,10 @@
         })
     }
 
-    fn list_after(&self, version: u64) -> Option<List> {
+    fn newer_list(&self) -> Option<List> {
+        let (acted, _) = self.daemon.replica.freshness(|freshness, _| freshness.acted());
         let applied = self.daemon.replica.shared().read();
-        let list = applied.state.list().filter(|list| list.version > version)?;
+        let list = applied.state.list().filter(|list| list.version > acted)?;
         match serde_json::from_str(&list.text) {
             Ok(list) => Some(list),
             Err(error) => {
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -9,12 +9,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::error;
 
-use crate::message::Control;
-use crate::message::Message;
+use crate::message::{Control, Message};
 use crate::metrics::Metrics;
 use crate::operator::{self, Call};
 use crate::orders::{Kept, StateError};
-use crate::shared::Shared;
 
 /// How often the orders are looked at: a call to one process binds the other well within the grace.
 const ORDERS: Duration = Duration::from_millis(100);
@@ -84,12 +82,13 @@
 
 /// Takes over what others were ordered or have learned.
 pub async fn follow_kept(store: Arc<Kept>, control: mpsc::Sender<Control>, to: UnboundedSender<Message>) {
-    let mut version = 0;
     loop {
         sleep(ORDERS).await;
         if store.changed() {
-            if let Kept::Shared(shared) = &*store {
-                follow_list(&**shared, &mut version, &to);
+            if let Kept::Shared(shared) = &*store
+                && let Some(list) = shared.newer_list()
+            {
+                let _ = to.send(Message::List(list)); // nobody to tell at the end
             }
             match store.load() {
                 Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
@@ -98,11 +97,3 @@
         }
     }
 }
-
-/// A list that others have learned and this node's discovery has not told it yet.
-fn follow_list(shared: &dyn Shared, version: &mut u64, to: &UnboundedSender<Message>) {
-    if let Some(list) = shared.list_after(*version) {
-        *version = list.version;
-        let _ = to.send(Message::List(list)); // nobody to tell at the end
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -62,7 +62,7 @@
     let shared = config.shared.clone();
     if let Some(shared) = &shared {
         shared.ready().await; // bounded by its settings
-        config.known = shared.list_after(config.known.version).unwrap_or(config.known);
+        config.known = shared.newer_list().unwrap_or(config.known);
     }
     let watching = discovery::Watch::new(
         asked,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -25,8 +25,8 @@
     fn changed(&self) -> bool;
     /// Gives an order to all nodes, durably.
     fn order(&self, server: String, order: Order) -> Later<'_, Result<(), String>>;
-    /// The latest committed list, if it is newer than this version.
-    fn list_after(&self, version: u64) -> Option<List>;
+    /// The committed list, if it is newer than the one acted on.
+    fn newer_list(&self) -> Option<List>;
     /// Whether a list of this version may be acted on; it is from then on. An error tells the version that is known.
     fn may_act(&self, version: u64) -> Result<(), u64>;
     /// A list was learned: all of it, and when each server was started. The others are told in time.
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{self, CodecError};
-use crate::engine::{Entry, LogId, MemberId, StorageError, Types};
+use crate::engine::{Entry, LogId, MemberId, SnapshotMeta, StorageError, Types};
 
 /// Of the file as a whole: which tables there are and what stands in them.
 const FORMAT: u32 = 1;
@@ -235,6 +235,23 @@
         self.write(|write| put(write, name, value))
     }
 
+    /// The latest snapshot: what it stands for, and its bytes as they are.
+    pub(crate) fn snapshot(&self) -> Result<Option<(SnapshotMeta, Vec<u8>)>> {
+        let Some(meta) = self.get("snapshot_meta")? else { return Ok(None) };
+        let table = self.database.begin_read()?.open_table(META)?;
+        let bytes = table.get("snapshot")?.ok_or(CodecError::Empty("the snapshot"))?;
+        Ok(Some((meta, bytes.value().to_vec())))
+    }
+
+    /// Keeps a snapshot, synced, in place of the one before.
+    pub(crate) fn put_snapshot(&self, meta: &SnapshotMeta, sealed: &[u8]) -> Result<()> {
+        self.write(|write| {
+            put(write, "snapshot_meta", meta)?;
+            write.open_table(META)?.insert("snapshot", sealed)?;
+            Ok(())
+        })
+    }
+
     /// Entries by their indexes, in order.
     ///
     /// # Errors
--- a/crates/store/src/machine.rs
+++ b/crates/store/src/machine.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::codec;
+use crate::codec::{self, CodecError};
 use crate::disk::{Disk, DiskError};
 use crate::engine::{Entry, LogId, Membership, SnapshotMeta, StorageError, Types};
 use crate::state::{Reply, State};
@@ -50,12 +50,6 @@
     applied: watch::Sender<u64>,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Kept {
-    meta: SnapshotMeta,
-    sealed: Vec<u8>,
-}
-
 const WHAT: &str = "a snapshot";
 
 impl Machine {
@@ -84,8 +78,7 @@
 
 /// The state of a disk's latest snapshot.
 pub(crate) fn kept(disk: &Disk) -> Result<Option<Applied>, DiskError> {
-    let kept: Option<Kept> = disk.get("snapshot")?;
-    Ok(kept.map(|kept| codec::unseal(WHAT, &kept.sealed)).transpose()?)
+    Ok(disk.snapshot()?.map(|(_, sealed)| codec::unseal(WHAT, &sealed)).transpose()?)
 }
 
 fn apply(applied: &mut Applied, entry: Entry) -> Reply {
@@ -126,7 +119,15 @@
     }
 
     async fn get_snapshot_builder(&mut self) -> Builder {
-        Builder { disk: self.disk.clone(), applied: self.shared.read().clone() }
+        // Written out at once: a copy of the state itself would cost more.
+        let applied = self.shared.read();
+        let last = applied.last;
+        let meta = SnapshotMeta {
+            last_log_id: last,
+            last_membership: applied.members.clone(),
+            snapshot_id: last.map_or_else(String::new, |last| format!("{}-{}", last.leader_id, last.index)),
+        };
+        Builder { disk: self.disk.clone(), meta, sealed: codec::seal(WHAT, &*applied) }
     }
 
     async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, StorageError> {
@@ -141,39 +142,32 @@
         let sealed = snapshot.into_inner();
         // Whole and unchanged, or nothing of it.
         let kept: Applied = codec::unseal(WHAT, &sealed).map_err(|error| failed(&error))?;
-        let row = Kept { meta: meta.clone(), sealed };
-        self.disk.put("snapshot", &row).map_err(|error| failed(&error))?;
+        self.disk.put_snapshot(meta, &sealed).map_err(|error| failed(&error))?;
         self.shared.change(|applied| *applied = kept);
         self.tell();
         Ok(())
     }
 
     async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Types>>, StorageError> {
-        let kept: Option<Kept> = self.disk.get("snapshot").map_err(|error| failed(&error))?;
-        let snapshot =
-            |kept: Kept| Snapshot { meta: kept.meta, snapshot: Box::new(Cursor::new(kept.sealed)) };
-        Ok(kept.map(snapshot))
+        let kept = self.disk.snapshot().map_err(|error| failed(&error))?;
+        Ok(kept.map(|(meta, sealed)| Snapshot { meta, snapshot: Box::new(Cursor::new(sealed)) }))
     }
 }
 
 /// Writes a snapshot of the state as it was when this was made.
 pub struct Builder {
     disk: Disk,
-    applied: Applied,
+    meta: SnapshotMeta,
+    sealed: Result<Vec<u8>, CodecError>,
 }
 
 impl RaftSnapshotBuilder<Types> for Builder {
     async fn build_snapshot(&mut self) -> Result<Snapshot<Types>, StorageError> {
-        let last = self.applied.last;
-        let meta = SnapshotMeta {
-            last_log_id: last,
-            last_membership: self.applied.members.clone(),
-            snapshot_id: last.map_or_else(String::new, |last| format!("{}-{}", last.leader_id, last.index)),
-        };
-        let sealed = codec::seal(WHAT, &self.applied).map_err(|error| failed(&error))?;
-        let kept = Kept { meta: meta.clone(), sealed };
-        self.disk.put("snapshot", &kept).map_err(|error| failed(&error))?;
-        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(kept.sealed)) })
+        // It is asked once; a second one would have nothing to write.
+        let sealed = std::mem::replace(&mut self.sealed, Err(CodecError::Empty(WHAT)));
+        let sealed = sealed.map_err(|error| failed(&error))?;
+        self.disk.put_snapshot(&self.meta, &sealed).map_err(|error| failed(&error))?;
+        Ok(Snapshot { meta: self.meta.clone(), snapshot: Box::new(Cursor::new(sealed)) })
     }
 }
 
@@ -181,6 +175,6 @@
 ///
 /// # Errors
 /// If it is damaged, cut short, or of another version.
-pub fn open_snapshot(sealed: &[u8]) -> Result<Applied, codec::CodecError> {
+pub fn open_snapshot(sealed: &[u8]) -> Result<Applied, CodecError> {
     codec::unseal(WHAT, sealed)
 }
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -28,16 +28,16 @@
 use crate::members::{self, Member, Members};
 use crate::message::{Party, Request, Response, Status, Unavailable};
 use crate::state::{Proposal, Reply};
-use crate::wire::MESSAGE;
 
 /// Heartbeats of a leader, and how long others wait for one before they campaign, in ms.
-const HEARTBEAT: u64 = 60;
-const ELECTION: (u64, u64) = (200, 400);
+const HEARTBEAT: u64 = 120;
+const ELECTION: (u64, u64) = (250, 500);
 /// Parts of a snapshot, in bytes.
 const PART: u64 = 256 << 10;
-/// Entries in one message, if they fit; and what stands round them in it, in bytes.
+/// Entries in one message, and their bytes together, but for one that is longer. The engine gives up an answer that
+/// takes longer than a heartbeat, and sends the same again: what can't be sent and synced in that time never gets there.
 const BATCH: u64 = 24;
-const ROOM: usize = 64 << 10;
+const FIT: usize = 1 << 20;
 /// Changes that wait for a quorum at a time.
 const CHANGES: usize = 64;
 /// Entries that wait for a quorum: without one, nothing more is written to the log.
@@ -508,7 +508,7 @@
         *sum += size(entry);
         Some(*sum)
     });
-    let fit = sums.take_while(|&sum| sum < MESSAGE - ROOM).count();
+    let fit = sums.take_while(|&sum| sum <= FIT).count();
     (fit < request.entries.len() && request.entries.len() > 1).then(|| fit.max(1) as u64)
 }
 
--- a/crates/store/src/wire/gate.rs
+++ b/crates/store/src/wire/gate.rs
@@ -19,6 +19,8 @@
     failed: HashMap<IpAddr, (u32, u64)>,
     /// Connections that were not heard.
     pub turned_away: u64,
+    /// Callers that were heard and refused, and why the last of them was.
+    refused: (u64, String),
 }
 
 impl Gate {
@@ -39,6 +41,17 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// A caller is refused: how many were, where that is worth a line of the log: for another reason than the last, or
+    /// twice as many as told before.
+    pub fn refused(&mut self, why: &str) -> Option<u64> {
+        self.refused.0 += 1;
+        let new = self.refused.1 != why;
+        if new {
+            why.clone_into(&mut self.refused.1);
+        }
+        (new || self.refused.0.is_power_of_two()).then_some(self.refused.0)
+    }
+
     /// A caller has not proved itself.
     pub fn failed(&mut self, from: IpAddr, now_ms: u64) {
         if self.failed.len() < ADDRESSES || self.failed.contains_key(&from) {
--- a/crates/store/src/wire/keys.rs
+++ b/crates/store/src/wire/keys.rs
@@ -84,12 +84,9 @@
     Number(PathBuf, usize),
 }
 
-fn hex(line: &str) -> Option<Key> {
-    let digits = Some(line).filter(|line| line.len() == 64 && line.is_ascii())?;
+fn key(line: &str) -> Option<Key> {
     let mut key = [0; 32];
-    for (n, byte) in key.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&digits[2 * n..2 * n + 2], 16).ok()?;
-    }
+    hex::decode_to_slice(line, &mut key).ok()?;
     Some(Key(key))
 }
 
@@ -112,7 +109,7 @@
         let text = fs::read_to_string(path).map_err(io)?;
         let lines = text.lines().map(str::trim).enumerate();
         let said = lines.filter(|(_, line)| !line.is_empty() && !line.starts_with('#'));
-        let keys = said.map(|(n, line)| hex(line).ok_or_else(|| KeyError::Line(path.to_owned(), n + 1)));
+        let keys = said.map(|(n, line)| key(line).ok_or_else(|| KeyError::Line(path.to_owned(), n + 1)));
         let keys: Vec<Key> = keys.collect::<Result<_, _>>()?;
         match keys.len() {
             1 | 2 => Ok(Keys(keys)),
@@ -128,7 +125,7 @@
         let io = |error| KeyError::Io(path.to_owned(), error);
         let mut key = [0; 32];
         getrandom::fill(&mut key).map_err(|error| io(io::Error::other(error.to_string())))?;
-        let text: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
+        let text = hex::encode(key);
         let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(path).map_err(io)?;
         writeln!(file, "# The key that all members of a store share.\n{text}").map_err(io)?;
         file.sync_all().map_err(io)
--- a/crates/store/src/wire/tcp.rs
+++ b/crates/store/src/wire/tcp.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -222,8 +223,14 @@
                 continue;
             }
         };
-        if !locked(&gate).admit(from.ip(), now()) {
-            continue; // closed unheard, and counted
+        if let Err(turned_away) = admitted(&gate, from.ip(), now()) {
+            if turned_away.is_power_of_two() {
+                warn!(
+                    event = "store_callers_turned_away",
+                    turned_away, "callers of the store are closed unheard"
+                );
+            }
+            continue;
         }
         let (replica, tcp, gate, stop) = (replica.clone(), tcp.clone(), gate.clone(), stop.clone());
         tokio::spawn(async move {
@@ -238,12 +245,20 @@
                 if matches!(error, WireError::Handshake(_) | WireError::Late) {
                     gate.failed(from.ip(), now());
                 }
-                warn!(event = "store_caller_refused", %from, %error, "a caller of the store is not heard");
+                if let Some(refused) = gate.refused(&error.to_string()) {
+                    warn!(event = "store_caller_refused", %from, %error, refused, "a caller of the store is not heard");
+                }
             }
         });
     }
 }
 
+/// Whether a connection is heard; else how many were not.
+fn admitted(gate: &Mutex<Gate>, from: IpAddr, now_ms: u64) -> Result<(), u64> {
+    let mut gate = locked(gate);
+    if gate.admit(from, now_ms) { Ok(()) } else { Err(gate.turned_away) }
+}
+
 /// Answers one connection; an error is a caller who should not be here.
 async fn attend(stream: TcpStream, replica: &Replica<Tcp>, tcp: &Tcp) -> Result<(), WireError> {
     let keys = tcp.keys();
--- a/crates/store/tests/simulation.rs
+++ b/crates/store/tests/simulation.rs
@@ -3,8 +3,16 @@
 mod sim;
 
 use std::thread;
+use std::time::Duration;
 
+use sim::net::{Net, Wire, addr};
+use sim::platter::Platter;
 use sim::{Broken, run};
+use stonefold_store::disk::{Disk, Identity};
+use stonefold_store::message::{Party, Request, Response};
+use stonefold_store::replica::{Options, Replica};
+use stonefold_store::state::{Change, Order, Proposal};
+use tokio::time::Instant;
 
 /// Runs many seeds on all cores; tells the first that shows something wrong.
 fn wrong(seeds: std::ops::Range<u64>, members: u64, broken: Broken) -> Option<(u64, String)> {
@@ -35,3 +43,32 @@
         assert!(wrong(0..40, 3, broken).is_some(), "{broken:?} shows in none of 40 seeds");
     }
 }
+
+#[test]
+fn without_a_quorum_the_log_grows_to_a_bound_and_no_further() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.unwrap().block_on(async {
+        let net = Net::default();
+        for member in [1, 2] {
+            let disk = Disk::on(Platter::default(), Identity { cluster: 1, member }).unwrap();
+            let wire = Wire { net: net.clone(), me: member, life: member };
+            let replica = Replica::start(disk, Options::at(addr(member)), wire).await.unwrap();
+            net.links().running.insert(member, (member, replica));
+        }
+        let first = net.replica(1).unwrap();
+        first.bootstrap().await.unwrap();
+        let added = first.answer(Party::Client, Request::Add { member: 2, addr: addr(2) }).await;
+        assert!(matches!(added, Response::Changed(Ok(()))), "{added:?}");
+        net.links().parted.insert((1, 2));
+        let mut refused = 0;
+        for client in 0..600 {
+            let change = Change::Order { server: "s-1".into(), order: Order { out: true, since_ms: 0 } };
+            let proposal = Proposal { client, sequence: 1, change };
+            refused += u32::from(
+                first.propose(proposal, Instant::now() + Duration::from_millis(100)).await.is_err(),
+            );
+        }
+        let status = first.status();
+        assert!(refused == 600 && (100..=256).contains(&(status.last - status.applied)), "{status:?}");
+    });
+}
--- a/crates/store/tests/wire.rs
+++ b/crates/store/tests/wire.rs
@@ -108,6 +108,9 @@
     let more = (0..100).filter(|_| gate.admit(good, 10_000)).count();
     assert_eq!(more, 63, "and 64 at a time in all");
     assert_eq!(gate.turned_away, 1 + 37);
+    // Refusals are told for each new reason, and ever more rarely for the same.
+    let told: Vec<u64> = (0..100).filter_map(|n| gate.refused(if n == 20 { "b" } else { "a" })).collect();
+    assert_eq!(told, [1, 2, 4, 8, 16, 21, 22, 32, 64]);
 }
 
 struct Served {
@@ -119,16 +122,21 @@
 }
 
 async fn served() -> Served {
+    let served = listening(1).await;
+    served.replica.bootstrap().await.unwrap();
+    served.replica.confirm(Instant::now() + PATIENCE).await.unwrap();
+    served
+}
+
+async fn listening(member: u64) -> Served {
     let dir = tempfile::tempdir().unwrap();
-    let disk = Disk::create(dir.path(), Identity { cluster: 9, member: 1 }).unwrap();
+    let disk = Disk::create(dir.path(), Identity { cluster: 9, member }).unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap().to_string();
-    let tcp = Tcp::member(keys(1), 9, 1, addr.clone());
+    let tcp = Tcp::member(keys(1), 9, member, addr.clone());
     let replica = Replica::start(disk, Options::at(addr.clone()), tcp.clone()).await.unwrap();
-    replica.bootstrap().await.unwrap();
     let stop = CancellationToken::new();
     tokio::spawn(serve(listener, replica.clone(), tcp.clone(), stop.clone()));
-    replica.confirm(Instant::now() + PATIENCE).await.unwrap();
     Served { addr, replica, tcp, stop, _dir: dir }
 }
 
@@ -152,6 +160,27 @@
     served.stop.cancel();
 }
 
+#[tokio::test]
+async fn long_lists_reach_a_new_member_in_as_many_messages_as_they_need() {
+    let (served, late) = (served().await, listening(2).await);
+    for version in 1..=8 {
+        let text = "x".repeat(stonefold_store::state::LIST);
+        let change = Change::List { version, text, learned_by: 1, started: Vec::new() };
+        let proposal = Proposal { client: version, sequence: 1, change };
+        served.replica.propose(proposal, Instant::now() + PATIENCE).await.unwrap();
+    }
+    let add = Request::Add { member: 2, addr: late.addr.clone() };
+    let answer = served.replica.answer(stonefold_store::message::Party::Client, add).await;
+    assert!(matches!(answer, Response::Changed(Ok(()))), "{answer:?}");
+    let mut applied = late.replica.applied();
+    let list = || late.replica.shared().read().state.list().map(|list| list.version);
+    while list() != Some(8) {
+        applied.changed().await.unwrap();
+    }
+    late.stop.cancel();
+    served.stop.cancel();
+}
+
 #[tokio::test]
 async fn strangers_get_nothing_and_members_alone_speak_of_elections() {
     let served = served().await;
