Answer before the process ends what came before SIGTERM with a later deadline

Cause: driver `arrived` cut a request's time to the process's end only for what came after SIGTERM. A write with 4.8 s to go outlasts the 3.6 s that `run` in lib.rs stays, and its client got a close without an answer. Ruled out: connections closed between requests (all client_left of that node tell owed=0 unread=0), the listener's backlog (the request was taken a second before SIGTERM), SIGKILL (it comes 0.1 s later than the node's own end).

Change: the module is told when the process ends (Event::Stopping). It cuts the deadlines of open requests as of new ones, and at that time refuses or fails what is left, as the class permits. The driver's own cut is gone. Tests seen red without it: told_to_stop_it_answers_a_write_that_waits_for_longer_than_it_lasts (the client got a close).

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -330,6 +330,8 @@
         /// Since when it may be used; it counts as cold from then.
         since: Micros,
     },
+    /// The process ends at this time: every request, also one that came before, is owed its answer by then.
+    Stopping(Micros),
 }
 
 /// What the embedder must do, in order.
--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -49,6 +49,7 @@
 /// A zone is cut off from ours when this many connections fail in a row while another zone answers.
 const CUT: u32 = 3;
 const LIST_TIMER: TimerToken = TimerToken(u64::MAX);
+const LAST_TIMER: TimerToken = TimerToken(u64::MAX - 2);
 
 /// How long a connection of one node may idle.
 fn idle_time(settings: &Settings) -> Micros {
@@ -81,6 +82,8 @@
     gates: [Gate; 2], // limits on what is out at the caches together, and at the origin
     /// Calls for the list that failed in a row; none before the first call.
     list_failures: Option<u32>,
+    /// When the process ends, as far as we know.
+    ends: Micros,
 }
 
 impl Balancer {
@@ -111,6 +114,7 @@
             flights: HashMap::new(),
             gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, (START * part).max(2.0), USUAL * part)),
             list_failures: None,
+            ends: Micros::MAX,
             settings,
         }
     }
@@ -139,10 +143,16 @@
             Event::ClientGone(id) => self.end(id, out),
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
             Event::Timer(IDLE_TIMER) => self.thin_out(out),
+            Event::Timer(LAST_TIMER) => self.finish_all(out),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
             Event::Settings(settings) => self.retune(*settings),
             Event::Disable(server) => self.disable(server, out),
             Event::Enable { server, since } => self.enable(server, since),
+            Event::Stopping(at) => {
+                self.ends = at;
+                self.open.values_mut().for_each(|r| r.deadline = r.deadline.min(at));
+                out.push(Action::SetTimer { after: at.saturating_sub(self.now).max(1), token: LAST_TIMER });
+            }
         }
     }
 
@@ -216,6 +226,7 @@
         open.class = class.map_or(0, |c| c + 1);
         (open.most, open.copies) = (self.settings.max_attempts, self.settings.second_copies);
         open.aim = told.map_or(request.budget, |c| c.aim);
+        open.deadline = open.deadline.min(self.ends);
         open.worth = self.worth(&request);
         self.open.insert(id, open);
         self.copies = (self.copies + COPY_SHARE).min(SAVED);
@@ -465,6 +476,14 @@
         self.end(id, out);
     }
 
+    /// The process is about to end. Guards against: requests that came before word of it and wait for longer
+    /// than it lasts, which their clients would never hear of again.
+    fn finish_all(&mut self, out: &mut Vec<Action>) {
+        let mut left: Vec<RequestId> = self.open.keys().copied().collect();
+        left.sort_unstable();
+        left.into_iter().for_each(|id| self.finish(id, out));
+    }
+
     /// The request has ended: what is still out is called off, who waited for it goes on.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get_mut(&id).filter(|r| !r.settled) else { return };
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -642,3 +642,35 @@
     let (few, many) = (places(4), places(48));
     assert!(few > many && many >= 2, "{few} among few, {many} among many");
 }
+
+// ---- the end of the process ----
+
+#[test]
+fn what_came_before_word_to_stop_is_answered_before_the_process_ends() {
+    let mut node = Node::new(settings(Mode::Aside), 3);
+    assert!(sent(&node.request(1, "a", 1, true)).is_some(), "a write, with a second to go");
+    assert!(sent(&node.read(2, "b")).is_some());
+    let (after, token) = timer(&node.tell(Event::Stopping(300_000))).expect("a last moment");
+    node.read(3, "c");
+    node.now += after;
+    let last = node.timer(token);
+    let ends: Vec<&Action> =
+        last.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).collect();
+    assert!(
+        matches!(
+            ends[..],
+            [Action::Fail(RequestId(1)), Action::Refuse { id: RequestId(2), .. }, Action::Refuse { .. }]
+        ),
+        "{last:?}"
+    );
+    assert_eq!(cancels(&last).len(), 3, "nothing is left out");
+}
+
+#[test]
+fn nothing_is_sent_that_can_not_be_answered_before_the_process_ends() {
+    let mut node = Node::new(settings(Mode::Through), 3);
+    node.warm_up();
+    node.tell(Event::Stopping(node.now + 10_000));
+    let actions = node.read(1000, "a");
+    assert!(sent(&actions).is_none() && answered(&actions), "{actions:?}");
+}
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -714,6 +714,17 @@
     assert!(s.caches[0].called().is_none());
 }
 
+#[test]
+fn told_to_stop_it_answers_a_write_that_waits_for_longer_than_it_lasts() {
+    let mut s = stage(1);
+    let mut client = s.node.client();
+    client.set("k", "c=put,d=600000,k=1", "v");
+    let _call = s.origin.call(); // and never an answer
+    s.node.terminate();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert!(s.node.exit());
+}
+
 // ---- long values ----
 
 const LONG: usize = 3_000_000;
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
+use tracing::trace;
 
 use super::Clients;
 use super::command::{CommandError, announced, arguments, parse_command};
@@ -88,7 +89,15 @@
 
     pub async fn run(mut self, mut stream: TcpStream) {
         // Whether it ended by a break or between requests is all one here.
-        let _ = self.serve(&mut stream).await;
+        let ended = self.serve(&mut stream).await;
+        trace!(
+            event = "client_left",
+            owed = self.owed.len(),
+            unread = self.buffer.len(),
+            ?ended,
+            stopping = self.shared.closing.used.is_cancelled(),
+            "a client's connection is closed"
+        );
         for owed in self.owed.drain(..) {
             if let Owed::Waiting(pending) = owed {
                 let _ = self.shared.to.send(Message::Gone(pending.id));
@@ -297,6 +306,7 @@
         let held = Held::new(PER_REQUEST + length, &self.shared.held);
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
+        trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), "a request is taken");
         let arrival = Arrival { id, command, at: self.read_at, answer: sender };
         // A driver that is gone drops the sender, and the request ends as failed.
         let _ = self.shared.to.send(Message::Arrived(arrival));
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -6,6 +6,7 @@
 use stonefold_balancer::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tracing::trace;
 
 use super::books::{Open, Running};
 use super::{Driver, Due};
@@ -34,6 +35,8 @@
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
+        trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
+            fresh = pooled.is_none(), wait_us = wait.as_micros() as u64, "an attempt is out");
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), begun: None }));
@@ -134,6 +137,10 @@
         let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.begun.is_some());
         let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
         let elapsed = elapsed.as_micros() as Micros;
+        if let Some(open) = self.open.get(&id) {
+            trace!(event = "attempt_ended", request = %open.name(), attempt, ?outcome, elapsed_us = elapsed,
+                "an attempt has ended");
+        }
         let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
         self.events.push_back(Event::Outcome(end));
         self.close_if_done(id);
--- a/crates/node/src/driver/books.rs
+++ b/crates/node/src/driver/books.rs
@@ -1,5 +1,6 @@
 //! What the driver keeps of each request, and its clock.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -25,6 +26,11 @@
 }
 
 impl Open {
+    /// Its id, as the client gave it and as it is passed on.
+    pub fn name(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.command.id)
+    }
+
     /// What is said of a request that was not served.
     pub fn note_end(&self, answer: &Answer) {
         let (event, retry_after_us) = match answer {
@@ -33,7 +39,7 @@
             Answer::Failed => ("failed", 0),
         };
         debug!(event, class = self.command.fact("c"), tenant = self.command.fact("t"),
-            request = %String::from_utf8_lossy(&self.command.id), attempts = self.attempts.len(), retry_after_us,
+            request = %self.name(), attempts = self.attempts.len(), retry_after_us,
             "a request is not served");
     }
 }
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -82,8 +82,6 @@
     to_self: UnboundedSender<Message>,
     inbox: UnboundedReceiver<Message>,
     control: Receiver<Control>,
-    /// When the process ends, once that is known.
-    ends: Option<Instant>,
     orders: Orders,
     /// The list for the others; nothing where nothing is kept together.
     ledger: Option<Ledger>,
@@ -113,7 +111,6 @@
             to_self,
             inbox,
             control,
-            ends: None,
             orders: Orders::new(),
             ledger: config.shared.map(Ledger::new),
         };
@@ -147,7 +144,10 @@
 
     fn directed(&mut self, control: Control) {
         match control {
-            Control::Stopping(at) => self.ends = Some(at),
+            Control::Stopping(at) => {
+                let left = at.saturating_duration_since(Instant::now()).as_micros() as Micros;
+                self.events.push_back(Event::Stopping(self.clock.now() + left));
+            }
             // Who asked may have left.
             Control::Known(name, answer) => _ = answer.send(self.directory.knows(&name)),
             Control::Reload(stated, answer) => {
@@ -267,14 +267,12 @@
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { id, command, at, answer } = arrival;
         let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
-        // Guards against: a request that the end of the process finds unanswered.
-        let left = self.ends.map_or(Micros::MAX, |end| (end - at).as_micros() as Micros);
         let request = Request {
             id,
             class: command.fact("c").and_then(|name| self.setup.class(name)),
             tenant: command.fact("t").and_then(|name| self.setup.tenant(name)),
             key: Some(command.key.clone()),
-            budget: command.wait.min(left).saturating_sub(spent),
+            budget: command.wait.saturating_sub(spent),
             write: command.value.is_some(),
         };
         let class = command.fact("c").filter(|_| request.class.is_some());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -127,6 +127,7 @@
         _ = stop.recv() => {}
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
     }
+    info!(event = "stopping", "what was taken is answered, new connections are taken for a moment");
     let longest = terms.borrow().longest.min(LONGEST_GRANTED);
     let last = Instant::now() + longest + LAST_WRITES;
     let _ = control.send(Control::Stopping(last - LAST_WRITES / 2)).await; // a driver that is gone takes nothing
