Keep idle connections for the keep-alive time unless connects fail

Cause: idle_time (brain.rs) closed idle connections after 8/300 of the keep-alive time, 0.4 s, however few there were, for fear of full tables. A node with 13 requests a second meets each of 180 caches once in 14 s. What a cache holds is bounded by its own rate times the keep-alive time, not by the number of nodes. Change: the time is each server's own. It is the keep-alive time, halves with each connect that fails there, down to the old bound, and grows by an eighth with each answer. One timer is out for all, not one for each answer.

--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -45,19 +45,16 @@
 const USUAL: f64 = 48.0;
 /// So many nodes may start with all of that.
 const FEW_NODES: f64 = 8.0;
-/// So many nodes may keep their connections for the whole of the keep-alive time.
+/// So many nodes may keep their connections for the whole of the keep-alive time, though connects fail.
 const IDLE_NODES: f64 = 8.0;
+/// A connection idles for this part longer after each answer, up to the keep-alive time.
+const LONGER: f64 = 1.125;
 const IDLE_TIMER: TimerToken = TimerToken(u64::MAX - 1);
 /// A zone is cut off from ours when this many connections fail in a row while another zone answers.
 const CUT: u32 = 3;
 const LIST_TIMER: TimerToken = TimerToken(u64::MAX);
 const LAST_TIMER: TimerToken = TimerToken(u64::MAX - 2);
 
-/// How long a connection of one node may idle.
-fn idle_time(settings: &Settings) -> Micros {
-    (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros
-}
-
 /// Decides for one node; see [`on_event`](Balancer::on_event).
 pub struct Balancer {
     settings: Settings,
@@ -79,7 +76,7 @@
     unsized_list: bool,          // the list tells no sizes: all weigh the same
     zones: BTreeMap<u32, Reach>, // how the zones answer
     kinds: BTreeMap<u32, Pace>,  // how quick the kinds of machines are
-    idle_time: Micros,           // how long a connection of ours may idle
+    thin_at: Micros,             // when idle connections are looked at next
     copies: f64,
     retries: f64,
     /// Fetches that are out or wait for a place, by key, with those who wait for them.
@@ -116,7 +113,7 @@
             unsized_list: true,
             zones: BTreeMap::new(),
             kinds: BTreeMap::new(),
-            idle_time: idle_time(&settings),
+            thin_at: Micros::MAX,
             copies: 1.0,
             retries: SAVED / 2.0,
             flights: HashMap::new(),
@@ -172,7 +169,6 @@
         }
         let tenants = settings.tenant_shares.len().max(self.tenants.len());
         self.tenants.resize_with(tenants, || Rate::new(self.now));
-        self.idle_time = idle_time(&settings);
         self.settings = settings;
     }
 
@@ -384,7 +380,8 @@
         self.admit_queued(usize::from(at_origin), out);
         if let Some(s) = self.servers.get_mut(&to).filter(|s| s.out.is_empty()) {
             s.idle_since = Some(self.now);
-            out.push(Action::SetTimer { after: self.idle_time, token: IDLE_TIMER });
+            let until = s.idle_until(self.settings.keepalive);
+            self.thin_by(until, out);
         }
         if self.open.get(&id).is_some_and(|r| r.settled && r.outstanding() == 0) {
             self.open.remove(&id);
--- a/crates/balancer/src/health.rs
+++ b/crates/balancer/src/health.rs
@@ -95,6 +95,14 @@
         if outcome == Outcome::Ok {
             gate.timing.observe(elapsed);
         }
+        // A full table shows in connects that fail: then our idle connections leave room for others'.
+        s.idle_part = match outcome {
+            Outcome::ConnectError => {
+                (s.idle_part / 2.0).max((IDLE_NODES / self.settings.nodes as f64).min(1.0))
+            }
+            Outcome::Ok | Outcome::Miss => (s.idle_part * LONGER).min(1.0),
+            _ => s.idle_part,
+        };
         if s.member.origin {
             return;
         }
--- a/crates/balancer/src/places.rs
+++ b/crates/balancer/src/places.rs
@@ -83,15 +83,30 @@
         }
     }
 
-    /// Guards against: full connection tables, where many nodes each keep idle connections to all caches.
-    /// The more nodes, the sooner each closes its own, so that their sum at a cache does not grow with them.
+    /// Closes connections that have idled for long enough: they are few at a cache whose connects fail.
+    ///
+    /// Guards against: full connection tables, where hundreds of nodes each keep idle connections to all caches,
+    /// and handshakes for nearly every request, where each closes its own for fear of that.
     pub(super) fn thin_out(&mut self, out: &mut Vec<Action>) {
-        let over =
-            |s: &&mut Server| s.idle_since.is_some_and(|t| self.now >= t.saturating_add(self.idle_time));
-        for s in self.servers.values_mut().filter(over) {
+        if self.now < self.thin_at {
+            return;
+        }
+        let (now, keepalive) = (self.now, self.settings.keepalive);
+        for s in self.servers.values_mut().filter(|s| now >= s.idle_until(keepalive)) {
             s.idle_since = None;
             out.push(Action::Disconnect(s.member.id));
         }
+        self.thin_at = Micros::MAX;
+        let next = self.servers.values().map(|s| s.idle_until(keepalive)).min();
+        next.into_iter().for_each(|next| self.thin_by(next, out));
+    }
+
+    /// Has idle connections looked at by then.
+    pub(super) fn thin_by(&mut self, at: Micros, out: &mut Vec<Action>) {
+        if at < self.thin_at {
+            self.thin_at = at;
+            out.push(Action::SetTimer { after: (at - self.now).max(1), token: IDLE_TIMER });
+        }
     }
 
     /// Adapts how many attempts we keep out: fewer when much goes badly, more while all goes well, and
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -176,6 +176,8 @@
     pub heard: Option<Micros>,
     /// Since when a connection to it idles.
     pub idle_since: Option<Micros>,
+    /// For what part of the keep-alive time one may idle.
+    pub idle_part: f64,
     /// Attempts without an answer, in a row.
     pub silent: u32,
     /// While it is left out: when one request may try it again.
@@ -196,11 +198,17 @@
             slowness: 1.0,
             heard: None,
             idle_since: None,
+            idle_part: 1.0,
             silent: 0,
             retry_at: now,
             allowance: (0.0, now),
         }
     }
+    /// Until when a connection to it may idle; for ever where none does.
+    pub fn idle_until(&self, keepalive: Micros) -> Micros {
+        let time = (keepalive as f64 * self.idle_part) as Micros;
+        self.idle_since.map_or(Micros::MAX, |since| since.saturating_add(time))
+    }
     /// Strikes off an attempt; tells from when it was a sign of trouble.
     pub fn close(&mut self, id: RequestId, attempt: usize) -> Option<Micros> {
         let entry = self.out.iter().find(|o| (o.1, o.2) == (id, attempt)).copied()?;
