Ask again for a list that failed within a quarter of the time allowed

Need: on sockets, what discovery has to tell counts as told 6 s later, arrived or not (4 s after SIGHUP). Cause: Balancer::members (brain.rs) let the pause grow to all of MustAskIn. It is a quarter now, 2.5 s with what the settings state, still doubling up to that and with full jitter.

--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -176,13 +176,15 @@
 
     fn members(&mut self, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
         if scope == ListScope::Failed {
-            // Asked again soon at first, then more rarely, and never so rarely that the list counts as told.
+            // Asked again soon at first, then more rarely, and never so rarely that the list counts as told:
+            // on sockets that is 6 s after a change, asked or not, so there have to be some tries by then.
             // Full jitter. Guards against: a herd that was turned away together and comes back together.
             let failures = self.list_failures.map_or(1, |n| n + 1).min(4);
             self.list_failures = Some(failures);
             // All nodes share one discovery: the more there are, the more rarely each asks.
             let nodes = (self.settings.nodes as u64 / 8).clamp(1, 8);
-            let wait = ((nodes * self.settings.must_ask_in / 32) << failures).min(self.settings.must_ask_in);
+            let wait =
+                ((nodes * self.settings.must_ask_in / 32) << failures).min(self.settings.must_ask_in / 4);
             let after = self.rng.u64(0..=wait).max(self.settings.quantum);
             return out.push(Action::SetTimer { after, token: LIST_TIMER });
         }
