Hold the emulator's output open in the tests that read one line of it

With the node's log kept, the failing run had: discovery_failed at=127.0.0.1:42875 error=Connection refused (os error 111) failed=1 so the emulator was gone before the node's first call. Cause: the test read the first line through a reader that was dropped at once; the emulator's next line then broke its pipe and ended it, if it came later than that. Ruled out: cold caches and the stall itself (120 runs by hand, up to 40 at a time, with the output in a file, none failed). The reader now lives as long as the emulator, in the other test of that shape too. 2 of 6 runs failed before, none of 10 after.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -259,7 +259,8 @@
         .spawn()
         .unwrap();
     let mut line = String::new();
-    BufReader::new(emulator.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let mut said = BufReader::new(emulator.stdout.take().unwrap());
+    said.read_line(&mut line).unwrap();
     let node = Own::start(&dir.path().join("node-0.toml"));
     let at = node.addr.to_string();
     let get = || {
@@ -326,8 +327,9 @@
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut line = String::new();
-    BufReader::new(emulator.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    // Held open: an emulator that nobody reads ends as it says its next line.
+    let mut said = BufReader::new(emulator.stdout.take().unwrap());
+    said.read_line(&mut String::new()).unwrap();
     let node = Own::start(&configs.join("node-0.toml"));
     let at = node.addr.to_string();
     let get = ["get", "record:0", "--node", &at, "--class", "read", "--deadline", "30s"];
