Write nothing for a request that has ended: attempts still connecting are stopped

A read's fetch is let run when its client is answered or leaves (Balancer::end keeps the one attempt at the origin); whether it had been written was known to nobody, so one that was still connecting was first written when the connection came up. In attempt::run only the server's standing was asked before the first byte. Ruled out by reading: retries and copies (Balancer::send asks `settled`), fetches handed on (land asks who still waits). Where the settings bar cancelling, losers and writes had the same fault.

Change: each attempt has a leave to write, asked right before its first byte, which notes that it has begun. When a request ends the driver stops its attempts that have not: they never ran, so this is no cancelling. The module hears that they were not sent; who waits for that fetch fetches under its own id. A server that changes its address takes the leave from attempts still on their way to the old one.

The older test of a drain during a connect uses the same listener and now waits until the node connects.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 /// Long enough for any machine; reached only by a test that fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -58,11 +60,6 @@
         Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request)
     }
 
-    /// A cache behind a listener of the test's own making.
-    pub fn behind(listener: TcpListener) -> Fake {
-        Fake::serving(listener, command)
-    }
-
     fn serving(listener: TcpListener, read: ReadCall) -> Fake {
         let addr = listener.local_addr().unwrap();
         let ((to_calls, calls), (to_closed, closed)) = (channel(), channel());
@@ -89,6 +86,61 @@
     }
 }
 
+/// A server whose connections come up only once the test lets them in: until then the node is connecting.
+pub struct Late {
+    pub addr: SocketAddr,
+    listener: TcpListener,
+    /// Fills the backlog.
+    before: TcpStream,
+    read: ReadCall,
+}
+
+impl Late {
+    pub fn cache() -> Late {
+        Late::reading(command)
+    }
+
+    pub fn http() -> Late {
+        Late::reading(request)
+    }
+
+    fn reading(read: ReadCall) -> Late {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let addr = listener.local_addr().unwrap();
+        Late { addr, before: TcpStream::connect(addr).unwrap(), listener, read }
+    }
+
+    /// Waits until so many connections are on their way here.
+    pub fn awaited_by(&self, connections: usize) {
+        let start = Instant::now();
+        while connecting(self.addr) != connections {
+            assert!(start.elapsed() < PATIENCE, "{} connect, not {connections}", connecting(self.addr));
+            thread::yield_now();
+        }
+    }
+
+    /// From here on it is a server like others.
+    pub fn let_in(self) -> Fake {
+        let fake = Fake::serving(self.listener, self.read);
+        drop(self.before);
+        assert_eq!(fake.closed(), 0, "the one that filled the backlog");
+        fake
+    }
+}
+
+/// How many sockets of this machine are connecting to an address, as the kernel tells it.
+fn connecting(to: SocketAddr) -> usize {
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(to) = to else { unreachable!("the tests' addresses are of version 4") };
+    let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(to.ip().octets()), to.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().map(|row| row.split_whitespace().skip(2).take(2).collect::<Vec<_>>());
+    rows.filter(|row| row[..] == [&remote, SYN_SENT]).count()
+}
+
 fn attend(
     stream: TcpStream,
     connection: usize,
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -343,28 +343,21 @@
 
 #[test]
 fn a_server_drained_while_its_connection_comes_up_is_sent_nothing() {
-    use socket2::{Domain, Socket, Type};
-    // A full backlog holds the node's connection back until the test accepts the one before it.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    let listener: std::net::TcpListener = socket.into();
-    let addr = listener.local_addr().unwrap();
-    let before = std::net::TcpStream::connect(addr).unwrap();
+    let late = Late::cache();
+    let addr = late.addr;
     let (origin, discovery) = (Fake::http(), Fake::http());
     let node = Node::start(&list(41, &[(NAMES[0], addr)], origin.addr), discovery.addr);
     let call = discovery.call();
     let mut client = node.client();
     client.get("k", "c=read,d=60000");
+    late.awaited_by(1);
     // Once the next call has come, the word of the drain has been read.
     call.http(
         "200 OK",
         &format!(r#"{{"version":42,"full":false,"servers":[{}]}}"#, entry(NAMES[0], addr, "m", "DRAINING")),
     );
     let _watch = discovery.call();
-    let cache = Fake::behind(listener);
-    drop(before);
-    assert_eq!(cache.closed(), 0);
+    let cache = late.let_in();
     assert_eq!(cache.closed(), 1, "the node's own connection");
     assert!(cache.called().is_none(), "sent to a server that drains");
     origin.call().http("200 OK", "v"); // the read goes on elsewhere
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -37,9 +37,10 @@
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
         trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
             fresh = pooled.is_none(), wait_us = wait.as_micros() as u64, "an attempt is out");
+        let written = target.leave.begun.clone();
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), begun: None }));
+        open.attempts.push(Some(Running { sent: now, task, written, timer: Some(timer), begun: None }));
         self.running += 1;
     }
 
@@ -85,6 +86,20 @@
         self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
     }
 
+    /// Stops what of an ended request is not yet written: nobody waits for it, and it never ran, so that this
+    /// is no cancelling, which settings may bar. Who waits for its fetch fetches under an id of its own.
+    ///
+    /// Guards against: a request that is sent on after its final answer, or after its client has left, by an
+    /// attempt whose connection came up late.
+    pub(super) fn stop_unwritten(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id).filter(|open| open.answer.is_none()) else { return };
+        let unwritten = |(n, running): (usize, &Option<Running>)| {
+            running.as_ref().is_some_and(|running| !running.written.has()).then_some(n)
+        };
+        let unwritten: Vec<usize> = open.attempts.iter().enumerate().filter_map(unwritten).collect();
+        unwritten.into_iter().for_each(|attempt| self.give_up(id, attempt, Outcome::Ignored));
+    }
+
     pub(super) fn ended(&mut self, ended: Ended) {
         let Ended { id, attempt, reply, server, addr, connection } = ended;
         let running = self.close(id, attempt);
@@ -103,6 +118,7 @@
         // How long a long value takes tells of its length and its client, not of the server.
         let elapsed = running.begun.unwrap_or_else(|| running.sent.elapsed());
         self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
+        self.stop_unwritten(id);
     }
 
     /// The first value to begin is the answer, whatever becomes of it. Others are dropped, and end for it.
@@ -116,6 +132,7 @@
         running.begun = Some(running.sent.elapsed());
         let _ = sender.send(Answer::Stream(stream)); // the client may have left
         self.events.push_back(Event::FirstByte { id, attempt });
+        self.stop_unwritten(id);
     }
 
     /// Counts how a value ended that had begun to come.
--- a/crates/node/src/driver/books.rs
+++ b/crates/node/src/driver/books.rs
@@ -13,6 +13,7 @@
 
 use crate::metrics::Outcomes;
 use crate::request::{Answer, Command};
+use crate::upstream::leave::Begun;
 
 /// A request that is owed an answer or has an attempt out.
 pub struct Open {
@@ -47,6 +48,8 @@
 pub struct Running {
     pub sent: Instant,
     pub task: AbortHandle,
+    /// Whether its first byte may be out.
+    pub written: Begun,
     /// When it is given up; nothing once its value has begun to come.
     pub timer: Option<delay_queue::Key>,
     /// After what time its value began to come.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -286,6 +286,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.answer = None;
             self.events.push_back(Event::ClientGone(id));
+            self.stop_unwritten(id);
             self.close_if_done(id);
         }
     }
@@ -293,6 +294,7 @@
     /// The final answer, after which the request may be done with.
     fn end(&mut self, id: RequestId, answer: Answer) {
         self.answer(id, answer);
+        self.stop_unwritten(id);
         self.close_if_done(id);
     }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -31,17 +31,13 @@
             Ok(Err(_)) | Err(_) => return (Reply::of(Outcome::ConnectError), None),
         },
     };
-    // Guards against: a first byte to a server that was drained while the connection came up.
-    if !target.standing.serving() {
-        return (Reply::of(Outcome::Ignored), None);
-    }
     match connection {
         Connection::Cache(connection) => {
-            let (reply, connection) = connection.ask(command, wait, written, pass).await;
+            let (reply, connection) = connection.ask(command, wait, target.leave, written, pass).await;
             (reply, connection.map(Connection::Cache))
         }
         Connection::Origin(connection) => {
-            let (reply, connection) = connection.ask(command, target.addr, written, pass).await;
+            let (reply, connection) = connection.ask(command, target.addr, target.leave, written, pass).await;
             (reply, connection.map(Connection::Origin))
         }
     }
--- a/crates/node/src/upstream/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::leave::Leave;
 use super::reply::Reply;
 use crate::metrics::Figure;
 use crate::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
@@ -42,9 +43,13 @@
         mut self,
         command: &Command,
         wait: Duration,
+        leave: Leave,
         written: &Figure,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
+        if !leave.begin() {
+            return (Reply::of(Outcome::Ignored), None);
+        }
         // Broken before the last byte was written: it never ran. After that it may have.
         let write = async {
             self.0.write_all(&head(command, wait)).await?;
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -3,8 +3,6 @@
 use std::borrow::Cow;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use stonefold_balancer::setup::{Setup, micros};
@@ -15,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
+use super::leave::{Leave, Standing};
 
 /// A connection rests for so long before it is used again, if another can be.
 ///
@@ -27,16 +26,6 @@
 /// Guards against: an order for a server that has died and will be back, taken for a slip of the pen.
 const REMEMBERED: usize = 256;
 
-/// Whether a server may be sent anything new; shared with the attempts under way.
-#[derive(Clone)]
-pub struct Standing(Arc<AtomicBool>);
-
-impl Standing {
-    pub fn serving(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 struct Server {
     name: String,
     addr: SocketAddr,
@@ -55,7 +44,7 @@
 pub struct Target {
     pub addr: SocketAddr,
     pub origin: bool,
-    pub standing: Standing,
+    pub leave: Leave,
 }
 
 /// The servers by id.
@@ -115,7 +104,7 @@
             addr: entry.addr,
             origin,
             up: true,
-            standing: Standing(Arc::new(AtomicBool::new(true))),
+            standing: Standing::new(),
             state,
             started_ms: entry.started_ms,
             idle: Vec::new(),
@@ -123,6 +112,9 @@
         server.origin = origin;
         if server.addr != entry.addr {
             server.addr = entry.addr;
+            // Guards against: a first byte to whoever has the old address now, by an attempt that connects there.
+            server.close();
+            server.standing = Standing::new();
             server.idle.clear();
         }
         if new || server.state != state || server.started_ms != entry.started_ms {
@@ -189,7 +181,8 @@
                 break;
             }
         }
-        let target = Target { addr: server.addr, origin: server.origin, standing: server.standing.clone() };
+        let target =
+            Target { addr: server.addr, origin: server.origin, leave: Leave::new(server.standing.clone()) };
         Some((target, pooled))
     }
 
@@ -232,13 +225,13 @@
 impl Server {
     /// Gone: attempts under way send nothing more.
     fn close(&self) {
-        self.standing.0.store(false, Ordering::Relaxed);
+        self.standing.set(false);
     }
 
     /// Takes new requests if it serves and nobody took it out.
     fn stand(&mut self, banned: bool) {
         let serving = self.up && !banned;
-        self.standing.0.store(serving, Ordering::Relaxed);
+        self.standing.set(serving);
         if !serving {
             self.idle.clear();
         }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -4,5 +4,6 @@
 mod caches;
 pub mod connection;
 pub mod directory;
+pub mod leave;
 mod origin;
 pub mod reply;
--- a/crates/node/src/upstream/origin.rs
+++ b/crates/node/src/upstream/origin.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::leave::Leave;
 use super::reply::Reply;
 use crate::metrics::Figure;
 use crate::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
@@ -69,6 +70,7 @@
         mut self,
         command: &Command,
         addr: SocketAddr,
+        leave: Leave,
         written: &Figure,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
@@ -76,6 +78,9 @@
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        if !leave.begin() {
+            return (Reply::of(Outcome::Ignored), None);
+        }
         // The whole request is at hand, and the connection writes it as soon as it has its turn.
         written.add_one();
         match self.sender.try_send_request(request).await {
