--- a/crates/balancer/src/setup.rs
+++ b/crates/balancer/src/setup.rs
@@ -85,7 +85,7 @@
     cold: f64,
     cold_from: Option<f64>,
     fall: f64,
-    must_ask_in: f64,
+    must_ask_in: Option<f64>,
     overload_factor: Option<f64>,
 }
 
@@ -237,7 +237,7 @@
             over_share_worth: setup.over_share_worth.unwrap_or(defaults.over_share_worth),
             mode: if setup.family_info.mode == "aside" { Mode::Aside } else { Mode::Through },
             must_subscribe: setup.registry_mode == "subscribe",
-            must_ask_in: micros(rules.must_ask_in),
+            must_ask_in: rules.must_ask_in.filter(|&ms| ms > 0.0).map_or(defaults.must_ask_in, micros),
             steady_weights: setup.weights != "live",
             cancel: limits.cancel,
             second_copies: limits.second_copies,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -58,20 +58,19 @@
     info!(event = "listening", at = %listener.local_addr()?, "clients are served");
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
-    let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
     let shared = config.shared.clone();
     if let Some(shared) = &shared {
         shared.ready().await; // bounded by its settings
         config.known = shared.newer_list().unwrap_or(config.known);
     }
     // What a list without servers has changed since is no list.
-    let known = if config.known.servers.is_empty() { 0 } else { config.known.version };
-    let watching =
-        discovery::Watch::new(asked, known, config.setup.settings.nodes, config.seed, sender.clone());
+    let known = (!config.known.servers.is_empty()).then_some(config.known.version);
     let (new_address, address) = watch::channel(config.discovery);
     let to_servers = Arc::new(AtomicUsize::new(0));
     let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
     let (new_terms, terms) = watch::channel(Terms::of(&config.setup));
+    let watching =
+        discovery::Watch::new(subscribe.clone(), known, terms.clone(), config.seed, sender.clone());
     let metrics = Arc::new(Metrics::new(log));
     terms.borrow().classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -37,11 +37,32 @@
     pub classes: HashSet<String>,
     /// The longest that a client of any class waits.
     pub longest: Duration,
+    /// How the list of servers is followed.
+    pub following: Following,
+}
+
+/// How the list of servers is followed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Following {
+    /// Whether the module says when a failed call is repeated, and a fleet shares one discovery that is asked.
+    pub subscribe: bool,
+    /// Without a subscription the list is asked for at least this often.
+    pub ask_in: Duration,
+    pub nodes: usize,
 }
 
 impl Terms {
     pub fn of(setup: &Setup) -> Terms {
-        Terms { classes: setup.class_names().clone(), longest: Duration::from_micros(setup.longest_deadline) }
+        let settings = &setup.settings;
+        Terms {
+            classes: setup.class_names().clone(),
+            longest: Duration::from_micros(setup.longest_deadline),
+            following: Following {
+                subscribe: settings.must_subscribe,
+                ask_in: Duration::from_micros(settings.must_ask_in),
+                nodes: settings.nodes,
+            },
+        }
     }
 }
 
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -79,6 +79,7 @@
         self.new_terms.send_modify(|now| {
             now.classes.extend(terms.classes.iter().cloned());
             now.longest = now.longest.max(terms.longest);
+            now.following = terms.following;
         });
         let at = new.discovery;
         self.new_address.send_if_modified(|now| std::mem::replace(now, at) != at);
