Notice a client that leaves while it is not read, and wait before closing on what is unread

Cause, read in the code: Session::serve saw its client's end only as a read of nothing, and it doesn't read while the node stops and owes an answer, while memory or the answers owed bar more commands, after a malformed frame, while it waits for room, and in every write (five seconds, where a value stalls). What the client had asked for went on meanwhile: with the mend out, tests show a write still on its way to the origin when another request, given 1 or 1.5 s, has been given up, and with 1 MB of memory eight reads that go on for good. And run() dropped the socket at once after shutdown: with requests unread behind the answer the kernel resets, and drops what it has not sent.

Change: wherever it doesn't read, the session looks for the client's end without reading: a peek, and behind unread bytes what the kernel tells of the other side, every 50 ms. A close with something unread waits up to 2 s for the client's.

Tests: tests/endings.rs, four seen red without the change; those of further signals, of a command half read and of short deadlines passed at once.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -122,6 +122,20 @@
         }
     }
 
+    /// How many connections are on their way here.
+    pub fn awaiting(&self) -> usize {
+        connecting(self.addr)
+    }
+
+    /// Waits until any connection is on its way here.
+    pub fn awaited_by_some(&self) {
+        let start = Instant::now();
+        while self.awaiting() == 0 {
+            assert!(start.elapsed() < PATIENCE, "none connects");
+            thread::yield_now();
+        }
+    }
+
     /// From here on it is a server like others.
     pub fn let_in(self) -> Fake {
         let fake = Fake::serving(self.listener, self.read);
--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -84,3 +84,128 @@
     drop(client);
     origin.awaited_by(0);
 }
+
+#[test]
+fn a_client_that_leaves_while_the_node_stops_is_noticed_whether_or_not_it_has_sent_more() {
+    for more in [false, true] {
+        let (node, cache, origin) = with_late_origin(&patient());
+        let (mut client, mut other) = (node.client(), node.client());
+        other.send(&["CACHE.GET", "m", "another", "c=read,d=1500"]);
+        let _call = cache.call();
+        client.set("k", "c=put,d=60000,k=1", "v");
+        origin.awaited_by(1);
+        stop(&node);
+        if more {
+            client.set("l", "c=put,d=60000,k=2", "v"); // not read by a node that stops and owes an answer
+        }
+        drop(client);
+        // Given up in its time, which is over before the node's.
+        assert!(other.answer().unwrap().starts_with("-BUSY"));
+        assert_eq!(origin.awaiting(), 0);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_there_is_no_memory_for_more_of_its_commands_is_noticed() {
+    let (cache, origin) = (Late::cache(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let node = Start { settings: &patient(), memory_mb: 1, ..Start::new(&known, Fake::http().addr) }.node();
+    let mut client = node.client();
+    for n in 0..60 {
+        client.send(&["CACHE.GET", "k", &format!("id-{n}"), "c=read,d=60000"]);
+    }
+    cache.awaited_by_some();
+    drop(client);
+    cache.awaited_by(0);
+}
+
+#[test]
+fn a_client_that_leaves_while_a_value_for_it_has_stalled_is_noticed_before_the_value_is_given_up() {
+    let (node, cache, origin) = with_late_origin(&patient());
+    let (mut client, mut other) = (node.client(), node.client());
+    client.get("k", "c=read,d=60000");
+    client.send(&["CACHE.SET", "l", "behind-it", "c=put,d=60000,k=1", "v"]);
+    let mut call = cache.call();
+    call.answer(format!("*3\r\n$200000\r\n{}", "x".repeat(100_000))); // and then nothing
+    origin.awaited_by(1);
+    assert_eq!(client.line(), "$200000");
+    drop(client);
+    // Given up after a second; a value that stalls only after five.
+    other.send(&["CACHE.GET", "m", "an-other", "c=read,d=1000"]);
+    let _call = cache.call();
+    assert!(other.answer().unwrap().starts_with("-BUSY"));
+    assert_eq!(origin.awaiting(), 0);
+}
+
+// ---- the process ends ----
+
+/// Has a node stop, up to where it takes no more from clients that it owes: it then closes those it owes nothing.
+fn stop(node: &Node) {
+    let mut idle = node.client();
+    idle.ping();
+    node.terminate();
+    assert_eq!(idle.answer(), None, "closed, since the node stops");
+}
+
+#[test]
+fn with_short_deadlines_it_answers_what_would_outlive_it_and_ends_by_itself() {
+    let settings = patient().replace(r#""HardLimit":2000.0"#, r#""HardLimit":200.0"#);
+    let (mut node, _cache, origin) = with_late_origin(&settings);
+    let mut client = node.client();
+    client.set("k", "c=put,d=60000,k=1", "v");
+    origin.awaited_by(1);
+    node.terminate();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert!(node.exit());
+    origin.awaited_by(0);
+}
+
+#[test]
+fn further_signals_change_nothing_of_a_stop() {
+    let (mut node, cache, _origin) = with_late_origin(&patient());
+    let mut client = node.client();
+    client.get("k", "c=read,d=60000");
+    let call = cache.call();
+    stop(&node);
+    node.terminate();
+    node.reload("{}"); // refused
+    node.reload(&node.config()); // and nothing to read
+    call.value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert_eq!(client.answer(), None, "closed after its answer");
+    assert!(node.exit());
+}
+
+#[test]
+fn a_command_half_read_at_the_word_to_stop_is_answered_once_the_rest_comes() {
+    let (mut node, cache, _origin) = with_late_origin(&patient());
+    let mut client = node.client();
+    client.ping();
+    let text = words(&["CACHE.GET", "k", "9b1f03aa5c7e2d41", "c=read,d=60000"]);
+    let (half, rest) = text.split_at(text.len() - 7);
+    client.write(half);
+    stop(&node);
+    client.write(rest);
+    cache.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert!(node.exit());
+}
+
+#[test]
+fn an_answer_is_whole_though_what_is_behind_it_is_not_read_any_more() {
+    const LONG: usize = 1_000_000; // more than a client's machine takes before the client reads
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let mut node = Start { operator: true, ..Start::new(&known, Fake::http().addr) }.node();
+    let mut client = node.client();
+    client.get("k", "c=read,d=60000");
+    let mut call = cache.call();
+    stop(&node);
+    client.send(&["CACHE.GET", "l", "another", "c=read,d=60000"]); // never read
+    call.answer(format!("*3\r\n${LONG}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n", "x".repeat(LONG)));
+    // Nothing is open any more once the node has written all of it and closes.
+    while !node.call("STATS\n").contains("svc_inflight 0") {}
+    assert_eq!(client.rest_of_stream(), LONG + format!("${LONG}\r\n\r\n").len());
+    drop(client);
+    assert!(node.exit());
+}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Clients: the listener, and a session for each connection. Speaks RESP2; decides nothing.
 
+mod absent;
 mod command;
 mod owed;
 mod seats;
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -9,7 +9,7 @@
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::RequestId;
 use stonefold_proto::resp::{Malformed, next_frame};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
@@ -17,6 +17,7 @@
 use tracing::trace;
 
 use super::Clients;
+use super::absent::{gone, linger, unless_gone};
 use super::command::{CommandError, announced, arguments, parse_command};
 use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
 use super::seats::{Guest, Seat};
@@ -90,6 +91,7 @@
     pub async fn run(mut self, mut stream: TcpStream) {
         // Whether it ended by a break or between requests is all one here.
         let ended = self.serve(&mut stream).await;
+        let left = self.owed.is_empty() && ended.is_ok();
         trace!(
             event = "client_left",
             owed = self.owed.len(),
@@ -103,13 +105,17 @@
                 let _ = self.shared.to.send(Message::Gone(pending.id));
             }
         }
+        if left {
+            linger(&stream).await;
+        }
         drop(stream);
         self.shared.left.notify_waiters();
     }
 
     async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let (mut reader, mut writer) = stream.split();
+        let (reader, mut writer) = stream.split();
+        let client = reader.as_ref(); // read, and looked at, by one reference
         let (closing, budget) = (self.shared.closing.clone(), self.shared.budget.clone());
         let mut seat = None;
         loop {
@@ -128,10 +134,11 @@
             let reading = self.may_begin() && !self.more && (!stopping || unowed);
             let roomy = self.buffer.len() < SMALL || self.large.is_some();
             let wanted = if roomy { 0 } else { announced(&self.buffer).unwrap_or(UNTOLD) };
+            let looks = !(self.more || reading && roomy);
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
                 biased;
-                read = reader.read_buf(&mut self.buffer), if reading && roomy => {
+                read = read(client, &mut self.buffer), if reading && roomy => {
                     let read = read?;
                     if read == 0 {
                         return Ok(());
@@ -145,6 +152,8 @@
                         (self.since, self.come) = (self.read_at, self.buffer.len());
                     }
                 }
+                // Guards against: a client that leaves while it is not read, and whose requests go on.
+                () = gone(client), if looks => return Ok(()),
                 // Guards against: long commands on all connections at once, which outgrow the memory.
                 Ok(room) = budget.room(wanted), if reading && !roomy => {
                     self.buffer.reserve(wanted.saturating_sub(self.buffer.len()));
@@ -155,9 +164,12 @@
                     match outgoing {
                         Outgoing::Frame(frame) => {
                             let text = self.answers(frame);
-                            timeout(STUCK, writer.write_all(&text)).await??;
+                            let write = async { timeout(STUCK, writer.write_all(&text)).await? };
+                            unless_gone(client, write).await?;
+                        }
+                        Outgoing::Value(stream, _pending) => {
+                            unless_gone(client, stream.write_to(&mut writer)).await?;
                         }
-                        Outgoing::Value(stream, _pending) => stream.write_to(&mut writer).await?,
                     }
                     self.recount();
                     self.since = Instant::now();
@@ -322,3 +334,14 @@
         }))
     }
 }
+
+/// Reads what has come. Cancelled, it has read nothing.
+async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read_buf(buffer) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
