Plan a stop by what the platform grants, for short deadlines too

Cause, read in the code: SIGKILL comes 0.7 s after the longest deadline (3 s at most), and what comes later than 0.7 s after SIGTERM is lost if it finds that unanswered. Silent connections were kept for 1 s in any case: with deadlines of 0.2 s that is past the kill, and requests could still come in where they would be lost. Requests were to be answered by 0.3 s after the longest deadline, 0.5 s with deadlines of 0.2 s, when connections are still accepted.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,17 +15,17 @@
 mod reload;
 mod request;
 pub mod shared;
+mod stopping;
 mod upstream;
 
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
 
 use stonefold_observe::Dropped;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::task::TaskTracker;
 use tracing::{error, info};
 
@@ -36,19 +36,10 @@
 use metrics::Metrics;
 use orders::{Kept, Orders, Store};
 use reload::Follower;
+use stopping::Plan;
 
-/// After word to stop, connections that were on their way are still taken for so long, unless a successor has
-/// them.
-const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// A new connection's first request may be on its way for so long; it is not closed before.
-const FIRST_REQUEST: Duration = Duration::from_millis(500);
 /// Directions that may wait for the driver.
 const CONTROLS: usize = 16;
-/// What was taken is answered within the longest deadline, of which the platform grants so much ...
-const LONGEST_GRANTED: Duration = Duration::from_secs(3);
-/// ... and so much more: it grants 0.7 s.
-const LAST_WRITES: Duration = Duration::from_millis(600);
-
 /// Serves until SIGTERM, then answers what was taken. `log` counts the lines that are dropped, for the figures.
 pub async fn run(mut config: Config, log: Dropped) -> io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
@@ -124,24 +115,22 @@
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
     }
     info!(event = "stopping", "what was taken is answered, new connections are taken for a moment");
-    let longest = terms.borrow().longest.min(LONGEST_GRANTED);
-    let last = Instant::now() + longest + LAST_WRITES;
-    let _ = control.send(Control::Stopping(last - LAST_WRITES / 2)).await; // a driver that is gone takes nothing
+    let (stopped, plan) = (Instant::now(), Plan::new(terms.borrow().longest, handover::is_passed()));
+    // A driver that is gone takes nothing.
+    let _ = control.send(Control::Stopping(stopped + plan.answers)).await;
     serving.store(false, Ordering::Relaxed);
-    if !handover::is_passed() {
-        sleep(STILL_ACCEPTING).await;
-    }
+    sleep_until(stopped + plan.accepts).await;
     accepting.abort();
     let _ = accepting.await; // our descriptor of the listener is closed with it, the listener only if it is the last
     sessions.close();
     closing.used.cancel();
     tokio::select! {
         () = sessions.wait() => return Ok(()),
-        () = sleep(FIRST_REQUEST) => closing.silent.cancel(),
+        () = sleep_until(stopped + plan.silent) => closing.silent.cancel(),
     }
     tokio::select! {
         () = sessions.wait() => {}
-        () = sleep_until(last) => {}
+        () = sleep_until(stopped + plan.end) => {}
     }
     Ok(())
 }
