Test the leave behind a malformed frame, and a server that moves while an attempt connects

Need: both were mended with the paths beside them and had no test of their own.

Change: two tests with real connections in tests/endings.rs; seen red with those lines taken out (one attempt is still connecting when another request is given up; the connection to the old address is used).

--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -137,6 +137,43 @@
     assert_eq!(origin.awaiting(), 0);
 }
 
+#[test]
+fn a_client_that_leaves_behind_a_malformed_frame_is_noticed_before_its_answers_are_given_up() {
+    let (node, cache, origin) = with_late_origin(&patient());
+    let (mut client, mut other) = (node.client(), node.client());
+    client.set("k", "c=put,d=60000,k=1", "v");
+    origin.awaited_by(1);
+    // Given up well before the 1.5 s for which answers are waited for after what can't be read.
+    other.send(&["CACHE.GET", "m", "another", "c=read,d=700"]);
+    let _call = cache.call();
+    client.write("*1\r\n:7\r\nwhat is behind it is not read");
+    drop(client);
+    assert!(other.answer().unwrap().starts_with("-BUSY"));
+    assert_eq!(origin.awaiting(), 0);
+}
+
+// ---- the list changes ----
+
+#[test]
+fn an_attempt_that_connects_to_an_address_which_its_server_has_left_sends_nothing_there() {
+    let (old, new, origin, discovery) = (Late::cache(), Fake::cache(), Fake::http(), Fake::http());
+    let known = list(41, &[(CACHE, old.addr)], origin.addr);
+    let settings = patient();
+    let node = Start { settings: &settings, ..Start::new(&known, discovery.addr) }.node();
+    let call = discovery.call();
+    let mut client = node.client();
+    client.get("k", "c=read,d=60000");
+    old.awaited_by(1);
+    let moved = entry(CACHE, new.addr, "m", "SERVING");
+    call.http("200 OK", &format!(r#"{{"version":42,"full":false,"servers":[{moved}]}}"#));
+    let _watch = discovery.call(); // the list has been read
+    let old = old.let_in();
+    assert_eq!(old.closed(), 1, "the node's own connection");
+    assert!(old.called().is_none(), "sent to whoever has the address now");
+    new.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
 // ---- the process ends ----
 
 /// Has a node stop, up to where it takes no more from clients that it owes: it then closes those it owes nothing.
