Call clients' idle connections by their name

What was "seats" with "guests" is the list of client connections without an open request, ranked for eviction: `IdleConnections`, `IdleSlot`, `IdleState`, `evict_one`, in `clients/idle.rs`. Nothing but names has changed; the words of configuration and figures are as they were.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -2,8 +2,8 @@
 
 mod absent;
 mod command;
+mod idle;
 mod owed;
-mod seats;
 mod session;
 
 use std::collections::HashSet;
@@ -20,7 +20,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
-use seats::Seats;
+use idle::IdleConnections;
 use session::Session;
 
 use crate::bounds::Bounds;
@@ -47,7 +47,7 @@
     bounds: Bounds,
     terms: watch::Receiver<Terms>,
     /// Connections on which nothing is owed.
-    seats: Arc<Seats>,
+    idle: Arc<IdleConnections>,
     /// Told when a session has ended.
     left: Arc<Notify>,
     next_id: Arc<AtomicU32>,
@@ -71,22 +71,9 @@
         metrics: Arc<Metrics>,
         budget: Budget,
     ) -> Self {
-        let seats = Arc::new(Seats::new(bounds.resting));
+        let idle = Arc::new(IdleConnections::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
-        Clients {
-            to,
-            bounds,
-            terms,
-            seats,
-            left,
-            next_id,
-            open_ids,
-            held,
-            budget,
-            closing,
-            sessions,
-            metrics,
-        }
+        Clients { to, bounds, terms, idle, left, next_id, open_ids, held, budget, closing, sessions, metrics }
     }
 
     /// Takes connections until it is aborted.
@@ -115,7 +102,7 @@
     /// Has a connection closed, and waits for its end, or for a while.
     async fn make_room(&self) {
         let left = self.left.notified();
-        self.seats.clear_one(Instant::now());
+        self.idle.evict_one(Instant::now());
         let _ = timeout(PAUSE, left).await; // looked at again either way
     }
 }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -19,8 +19,8 @@
 use super::Clients;
 use super::absent::{gone, linger, unless_gone};
 use super::command::{CommandError, announced, arguments, parse_command};
+use super::idle::{IdleSlot, IdleState};
 use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
-use super::seats::{Guest, Seat};
 use crate::message::{Arrival, Message};
 use crate::metrics::InFlight;
 use crate::relay::{CHUNK, LARGEST, Room, STUCK, WHOLE};
@@ -117,7 +117,7 @@
         let (reader, mut writer) = stream.split();
         let client = reader.as_ref(); // read, and looked at, by one reference
         let (closing, budget) = (self.shared.closing.clone(), self.shared.budget.clone());
-        let mut seat = None;
+        let mut slot = None;
         loop {
             let unowed = self.owed.is_empty();
             let stopping = closing.used.is_cancelled();
@@ -125,9 +125,9 @@
             if unowed && (self.broken.is_some() || parting && self.buffer.is_empty()) {
                 return writer.shutdown().await;
             }
-            let guest = unowed.then(|| self.guest());
-            if guest != seat.as_ref().map(Seat::guest) {
-                seat = guest.map(|guest| self.shared.seats.take(guest, self.since));
+            let idle = unowed.then(|| self.idle_state());
+            if idle != slot.as_ref().map(IdleSlot::state) {
+                slot = idle.map(|state| self.shared.idle.enter(state, self.since));
             }
             // Guards against: a client that always has a command under way and so keeps a node that is to
             // stop until it is killed with something unanswered. What is not read, the client sends again.
@@ -184,17 +184,17 @@
                     timeout(STUCK, writer.write_all(&text)).await??;
                     return writer.shutdown().await;
                 }
-                () = Seat::cleared(&mut seat) => return writer.shutdown().await,
+                () = IdleSlot::evicted(&mut slot) => return writer.shutdown().await,
             }
             self.begin();
         }
     }
 
-    fn guest(&self) -> Guest {
+    fn idle_state(&self) -> IdleState {
         match (self.buffer.is_empty(), self.asked) {
-            (false, _) => Guest::Sending,
-            (true, true) => Guest::Resting,
-            (true, false) => Guest::Silent,
+            (false, _) => IdleState::Sending,
+            (true, true) => IdleState::Resting,
+            (true, false) => IdleState::Silent,
         }
     }
 
