Test four endings that had no test of their own

By real connections: a client that leaves behind 1,024 owed answers, also with more unread behind them; a time-out and an answer in one turn (the node's threads stopped while both come); connections in the kernel's queue when accepting ends (20 clients that wait for one fetch hold all places); a used connection that breaks while a write goes out, after it, at a cache and at the origin.

A close between the look at a connection and the write can't be forced from outside; the kernel takes the bytes, and what follows is what follows a close after the write.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -60,6 +60,16 @@
         Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request)
     }
 
+    /// A cache that does not read the values of writes; they have to begin with a line's end.
+    pub fn cache_without_values() -> Fake {
+        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), command_without_value)
+    }
+
+    /// An origin that does not read the bodies of requests; they have to begin with a line's end.
+    pub fn http_without_bodies() -> Fake {
+        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request_without_body)
+    }
+
     fn serving(listener: TcpListener, read: ReadCall) -> Fake {
         let addr = listener.local_addr().unwrap();
         let ((to_calls, calls), (to_closed, closed)) = (channel(), channel());
@@ -185,8 +195,20 @@
 }
 
 fn command(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    command_up_to(reader, usize::MAX)
+}
+
+fn command_without_value(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let words = command_up_to(reader, 4)?;
+    if words[0] == "CACHE.SET" {
+        line(reader)?; // the value's length
+    }
+    Some(words)
+}
+
+fn command_up_to(reader: &mut BufReader<TcpStream>, most: usize) -> Option<Vec<String>> {
     let n: usize = line(reader)?.strip_prefix('*')?.parse().ok()?;
-    (0..n)
+    (0..n.min(most))
         .map(|_| {
             let length: usize = line(reader)?.strip_prefix('$')?.parse().ok()?;
             let word = bytes(reader, length)?;
@@ -196,6 +218,17 @@
 }
 
 fn request(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let (mut words, length) = request_head(reader)?;
+    words.push(bytes(reader, length)?);
+    Some(words)
+}
+
+fn request_without_body(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    request_head(reader).map(|(words, _)| words)
+}
+
+/// A request's words but for its body, and how long that is.
+fn request_head(reader: &mut BufReader<TcpStream>) -> Option<(Vec<String>, usize)> {
     let first = line(reader)?;
     let mut words: Vec<String> = first.split(' ').take(2).map(String::from).collect();
     let mut length = 0;
@@ -209,8 +242,7 @@
         length = if name == "content-length" { value.parse().ok()? } else { length };
         words.push(format!("{name}: {value}"));
     }
-    words.push(bytes(reader, length)?);
-    Some(words)
+    Some((words, length))
 }
 
 /// A running node.
@@ -389,6 +421,26 @@
         self.config().replacen("{", &format!(r#"{{"discovery":"{discovery}","#), 1)
     }
 
+    /// Stops its threads where they are, until it is thawed.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().rsplit(')').next().unwrap().starts_with(" T") {
+            thread::yield_now();
+        }
+    }
+
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// A figure of this name, and labels if it has some.
+    pub fn figure(&self, name: &str) -> f64 {
+        let text = self.call("STATS\n");
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -4,6 +4,9 @@
 #[path = "common/fakes.rs"]
 mod fakes;
 
+use std::thread;
+use std::time::{Duration, Instant};
+
 use fakes::*;
 
 const CACHE: &str = "s-5be2a07c";
@@ -152,6 +155,140 @@
     assert_eq!(origin.awaiting(), 0);
 }
 
+#[test]
+fn a_client_that_leaves_behind_as_many_answers_as_may_be_owed_is_noticed() {
+    // The end follows at once on what fills the limit, or hides behind what is not read any more.
+    for behind in [1_023, 6_000] {
+        let (node, cache, origin) = with_late_origin(&patient());
+        let (mut client, mut other) = (node.client(), node.client());
+        client.set("k", "c=put,d=60000,k=1", "v");
+        origin.awaited_by(1);
+        other.send(&["CACHE.GET", "m", "another", "c=read,d=1500"]);
+        let _call = cache.call();
+        client.write(words(&["PING"]).repeat(behind));
+        drop(client);
+        // Given up in its time, long before the write.
+        assert!(other.answer().unwrap().starts_with("-BUSY"));
+        assert_eq!(origin.awaiting(), 0);
+    }
+}
+
+// ---- attempts end ----
+
+/// Whether an answer is what a class of this effect gets that was not served in time.
+fn unserved(class: &str, answer: &str) -> bool {
+    if class == "read" { answer.starts_with("-BUSY") } else { answer == "-ERR failed" }
+}
+
+#[test]
+fn a_time_out_and_an_answer_in_one_turn_are_one_end() {
+    const WAIT: Duration = Duration::from_millis(500);
+    for class in ["read", "put"] {
+        let (cache, origin) = (Fake::cache(), Fake::http());
+        let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+        let node = Start { operator: true, ..Start::new(&known, Fake::http().addr) }.node();
+        let mut client = node.client();
+        let sent = Instant::now();
+        client.get("k", &format!("c={class},d={}", WAIT.as_millis()));
+        let call = cache.call();
+        node.freeze();
+        call.value("v");
+        thread::sleep((sent + WAIT + WAIT / 4).saturating_duration_since(Instant::now()));
+        node.thaw();
+        let answer = client.answer().unwrap();
+        assert!(answer == "v" || unserved(class, &answer), "{answer}");
+        client.rest(); // no second answer is between
+        assert_eq!(node.figure("svc_inflight"), 0.0);
+        let ends = ["svc_success_total", "svc_busy_total", "svc_failure_total"];
+        let ended: f64 = ends.map(|name| node.figure(&format!("{name}{{tier=\"{class}\"}}"))).iter().sum();
+        assert_eq!(ended, 1.0);
+        // Its place and its connection are free once: as many as may be are out together.
+        client.get("k", &format!("c={class},d=60000"));
+        cache.call().value("w");
+        assert_eq!(client.answer().as_deref(), Some("w"));
+        assert_eq!(node.figure("svc_backend_calls_total"), 2.0);
+    }
+}
+
+#[test]
+fn a_used_connection_that_breaks_while_a_write_goes_out_has_not_run_it() {
+    let (cache, origin) = (Fake::cache_without_values(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let settings = SETTINGS.replace(r#""Mode":"aside""#, r#""Mode":"through""#);
+    let node = Start { settings: &settings, ..Start::new(&known, Fake::http().addr) }.node();
+    let mut client = node.client();
+    client.get("k", "c=read,d=60000");
+    cache.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    client.rest();
+    // More than the kernels of both sides take: the node is still writing when the cache closes.
+    client.set("k", "c=put,d=60000,k=1", &format!("\n{}", "x".repeat(4_000_000)));
+    // Of an effect that is not repeated: it is sent again, and refused at last, since it never ran.
+    let mut connections = vec![];
+    let answer = loop {
+        if let Some(call) = cache.called() {
+            connections.push(call.connection);
+            call.close();
+        }
+        if let Some(answer) = client.try_answer() {
+            break answer;
+        }
+    };
+    assert!(connections.starts_with(&[0, 1]), "the connection from before, then others: {connections:?}");
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+}
+
+#[test]
+fn a_used_connection_that_closes_after_the_request_was_written_may_have_run_it() {
+    for class in ["read", "put"] {
+        let (cache, origin) = (Fake::cache(), Fake::http());
+        let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+        let node = Start::new(&known, Fake::http().addr).node();
+        let mut client = node.client();
+        client.get("k", &format!("c={class},d=60000"));
+        cache.call().value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+        client.rest();
+        client.get("k", &format!("c={class},d=60000"));
+        let call = cache.call();
+        assert_eq!(call.connection, 0, "the connection from before");
+        call.close();
+        if class == "read" {
+            let call = cache.call(); // safe to repeat
+            assert_eq!(call.connection, 1);
+            call.value("w");
+            assert_eq!(client.answer().as_deref(), Some("w"));
+        } else {
+            assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+            client.rest();
+            assert!(cache.called().is_none(), "sent again");
+        }
+    }
+}
+
+#[test]
+fn a_used_connection_to_the_origin_that_breaks_under_a_write_may_have_run_it() {
+    // While it is written, and after.
+    for length in [4_000_000, 1] {
+        let (cache, origin) = (Fake::cache(), Fake::http_without_bodies());
+        let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+        let node = Start::new(&known, Fake::http().addr).node();
+        let mut client = node.client();
+        client.get("k", "c=read,d=60000");
+        cache.call().miss();
+        origin.call().http("200 OK", "v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+        client.rest();
+        client.set("k", "c=put,d=60000,k=1", &format!("\n{}", "x".repeat(length)));
+        let call = origin.call();
+        assert_eq!(call.connection, 0, "the connection from before");
+        call.close();
+        assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+        client.rest();
+        assert!(origin.called().is_none(), "sent again");
+    }
+}
+
 // ---- the list changes ----
 
 #[test]
@@ -246,3 +383,45 @@
     drop(client);
     assert!(node.exit());
 }
+
+#[test]
+fn connections_still_in_the_kernels_queue_when_accepting_ends_are_reset_and_nothing_of_them_is_sent_on() {
+    /// Clients that a node with so few descriptors holds in any case, and at the most.
+    const HELD: usize = 20;
+    const MOST: usize = 23;
+    let (cache, origin) = (Fake::cache(), Late::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let mut node =
+        Start { settings: &patient(), sockets: 60, ..Start::new(&known, Fake::http().addr) }.node();
+    let come = |n: usize| {
+        let mut client = node.client();
+        client.send(&["CACHE.GET", "k", &format!("id-{n}"), "c=read,d=60000"]);
+        client
+    };
+    // All wait for one fetch, so that none can be closed for others.
+    let mut held: Vec<Client> = (0..HELD)
+        .map(|n| {
+            let client = come(n);
+            cache.call().miss();
+            client
+        })
+        .collect();
+    node.freeze();
+    held.extend((HELD..MOST).map(come));
+    let mut queued: Vec<Client> = (MOST..MOST + 10).map(come).collect();
+    node.thaw();
+    node.terminate();
+    for client in &mut queued {
+        assert_eq!(client.answer(), None, "reset, and soon");
+    }
+    while let Some(call) = cache.called() {
+        let id: usize = call.words[2].strip_prefix("id-").unwrap().parse().unwrap();
+        assert!(id < MOST, "sent on for a client that was not taken");
+        call.miss();
+    }
+    for client in &mut held[..HELD] {
+        assert!(client.answer().unwrap().starts_with("-BUSY"), "what was taken is answered");
+    }
+    assert!(node.exit());
+    origin.awaited_by(0);
+}
