Begin nothing for a client whose end was seen, and count it

Measured first. (1) 1,000 clients that send and leave at once: attempts began for clients whose end their session had read, since word of it stands in the driver's unbounded inbox behind requests of others (`Driver::told`), and ends free places for requests that have ended too. `client_ends.rs`, `a_burst_of_clients_that_ask_and_leave_at_once`: red before, and red again with `Presence` alone undone.

`Presence` is shared by a session, its requests and their attempts, set when the session sees the end, asked by `Driver::arrived`, `Driver::send` and right before the first byte (`Leave::begin`).

New figures: `svc_leave_seen_seconds`, `svc_attempts_after_leave_total`, `svc_loop_lag_seconds`. The tests of metrics.rs moved to a file. Run: `cargo test -p stonefold-cli -p stonefold-node` passed.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -28,6 +28,10 @@
     pub fn answer(&mut self, bytes: impl AsRef<[u8]>) {
         self.stream.write_all(bytes.as_ref()).unwrap();
     }
+    /// Answers on a connection that the node may have closed.
+    pub fn try_answer(&mut self, bytes: &str) {
+        let _ = self.stream.write_all(bytes.as_bytes());
+    }
     pub fn value(mut self, value: &str) {
         self.answer(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()));
     }
@@ -519,6 +523,9 @@
             self.ping();
         }
     }
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
     pub fn ping(&mut self) {
         self.send(&["PING"]);
         assert_eq!(self.answer().as_deref(), Some("+PONG"));
--- a/crates/node/src/clients/absent.rs
+++ b/crates/node/src/clients/absent.rs
@@ -6,13 +6,10 @@
 
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::peek::nothing_has_come;
 
-/// How often the end of a client is looked for behind bytes that it sent before and that are not read. It owes
-/// nobody anything after 0.3 s.
-const GLANCE: Duration = Duration::from_millis(50);
 /// How long a client is waited for that has sent what is not read, after the last byte to it.
 const LINGER: Duration = Duration::from_secs(2);
 
@@ -20,17 +17,11 @@
 ///
 /// A client that closes its sending side alone counts as gone, as it does when that is read.
 pub async fn gone(stream: &TcpStream) {
-    let mut byte = [0];
-    loop {
-        match stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-        // What it has sent hides the end behind it, but not from the kernel.
-        match stream.ready(Interest::READABLE).await {
-            Ok(ready) if !ready.is_read_closed() => sleep(GLANCE).await,
-            Ok(_) | Err(_) => return,
-        }
+    let unread = stream.peek(&mut [0]).await;
+    if unread.is_ok_and(|bytes| bytes > 0) {
+        // What it has sent hides the end behind it, but not from the kernel. A socket is not registered for data
+        // of priority, so that this waits for its reading side's end alone.
+        let _ = stream.ready(Interest::PRIORITY).await; // an error is an end
     }
 }
 
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -23,6 +23,7 @@
 use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
 use crate::message::{Arrival, Message};
 use crate::metrics::InFlight;
+use crate::presence::Presence;
 use crate::relay::{CHUNK, LARGEST, Room, STUCK, WHOLE};
 use crate::request::Command;
 
@@ -48,6 +49,7 @@
 
 pub struct Session {
     shared: Clients,
+    presence: Presence,
     buffer: BytesMut,
     /// The room of a buffer that is not small.
     large: Option<Room>,
@@ -74,6 +76,7 @@
         let now = Instant::now();
         Session {
             shared,
+            presence: Presence::default(),
             buffer: BytesMut::new(),
             large: None,
             come: 0,
@@ -91,6 +94,7 @@
     pub async fn run(mut self, mut stream: TcpStream) {
         // Whether it ended by a break or between requests is all one here.
         let ended = self.serve(&mut stream).await;
+        self.presence.end();
         let left = self.owed.is_empty() && ended.is_ok();
         trace!(
             event = "client_left",
@@ -319,7 +323,8 @@
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
         trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), "a request is taken");
-        let arrival = Arrival { id, command, at: self.read_at, answer: sender };
+        let client = self.presence.clone();
+        let arrival = Arrival { id, command, at: self.read_at, answer: sender, client };
         // A driver that is gone drops the sender, and the request ends as failed.
         let _ = self.shared.to.send(Message::Arrived(arrival));
         self.open += 1;
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -16,20 +16,30 @@
 use crate::upstream::attempt;
 use crate::upstream::connection::Connection;
 use crate::upstream::directory::Target;
+use crate::upstream::leave::Begun;
 
 impl Driver {
     pub(super) fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
         let now = Instant::now();
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
-        let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
-            let held = self.running + self.directory.idle();
-            self.held.store(held, Ordering::Relaxed);
-            if pooled.is_none() && held >= self.connections {
-                self.directory.close_oldest();
-            }
-            pooled.is_some() || self.running < self.connections
-        });
+        let begun = Begun::default();
+        open.begun.push(begun.clone());
+        if open.client.has_ended() {
+            // Word of it waits in the inbox, behind what made the module send.
+            open.attempts.push(None);
+            self.gone(id);
+            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+        }
+        let place =
+            self.directory.check_out(server, now, open.client.clone(), begun).filter(|(_, pooled)| {
+                let held = self.running + self.directory.idle();
+                self.held.store(held, Ordering::Relaxed);
+                if pooled.is_none() && held >= self.connections {
+                    self.directory.close_oldest();
+                }
+                pooled.is_some() || self.running < self.connections
+            });
         let Some((target, pooled)) = place else {
             open.attempts.push(None);
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
@@ -37,12 +47,11 @@
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
         trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
             fresh = pooled.is_none(), wait_us = wait.as_micros() as u64, "an attempt is out");
-        let written = target.leave.begun.clone();
         // A fetch may run on for others; its server is told of no more than its own client's time.
         let until = (now + wait).min(open.until);
         let task = self.start(id, attempt, server, target, pooled, until);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { sent: now, task, written, timer: Some(timer), begun: None }));
+        open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), coming: None }));
         self.running += 1;
     }
 
@@ -95,10 +104,8 @@
     /// attempt whose connection came up late.
     pub(super) fn stop_unwritten(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id).filter(|open| open.answer.is_none()) else { return };
-        let unwritten = |(n, running): (usize, &Option<Running>)| {
-            running.as_ref().is_some_and(|running| !running.written.has()).then_some(n)
-        };
-        let unwritten: Vec<usize> = open.attempts.iter().enumerate().filter_map(unwritten).collect();
+        let unwritten = |&n: &usize| open.attempts[n].is_some() && !open.begun[n].has();
+        let unwritten: Vec<usize> = (0..open.attempts.len()).filter(unwritten).collect();
         unwritten.into_iter().for_each(|attempt| self.give_up(id, attempt, Outcome::Ignored));
     }
 
@@ -112,13 +119,13 @@
         if let Some(timer) = running.timer {
             self.timers.try_remove(&timer);
         }
-        match running.begun {
+        match running.coming {
             Some(_) => self.count_end(id, reply.outcome == Outcome::Ok),
             None if reply.outcome == Outcome::Ok => self.answer(id, Answer::Served(reply.value)),
             None => {}
         }
         // How long a long value takes tells of its length and its client, not of the server.
-        let elapsed = running.begun.unwrap_or_else(|| running.sent.elapsed());
+        let elapsed = running.coming.unwrap_or_else(|| running.sent.elapsed());
         self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
         self.stop_unwritten(id);
     }
@@ -131,7 +138,7 @@
         if let Some(timer) = running.timer.take() {
             self.timers.try_remove(&timer);
         }
-        running.begun = Some(running.sent.elapsed());
+        running.coming = Some(running.sent.elapsed());
         let _ = sender.send(Answer::Stream(stream)); // the client may have left
         self.events.push_back(Event::FirstByte { id, attempt });
         self.stop_unwritten(id);
@@ -153,7 +160,7 @@
         hit: Option<bool>,
     ) {
         // A value that has begun to come is not the end yet.
-        let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.begun.is_some());
+        let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.coming.is_some());
         let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
         let elapsed = elapsed.as_micros() as Micros;
         if let Some(open) = self.open.get(&id) {
--- a/crates/node/src/driver/books.rs
+++ b/crates/node/src/driver/books.rs
@@ -12,6 +12,7 @@
 use tracing::debug;
 
 use crate::metrics::Outcomes;
+use crate::presence::Presence;
 use crate::request::{Answer, Command};
 use crate::upstream::leave::Begun;
 
@@ -24,6 +25,9 @@
     pub answer: Option<oneshot::Sender<Answer>>,
     /// By their numbers; nothing once an attempt has ended.
     pub attempts: Vec<Option<Running>>,
+    /// Of each of them, whether and when its first byte went out.
+    pub begun: Vec<Begun>,
+    pub client: Presence,
     /// Where its end is counted; nowhere for a request of no class.
     pub outcomes: Option<Arc<Outcomes>>,
 }
@@ -50,12 +54,10 @@
 pub struct Running {
     pub sent: Instant,
     pub task: AbortHandle,
-    /// Whether its first byte may be out.
-    pub written: Begun,
     /// When it is given up; nothing once its value has begun to come.
     pub timer: Option<delay_queue::Key>,
     /// After what time its value began to come.
-    pub begun: Option<Duration>,
+    pub coming: Option<Duration>,
 }
 
 /// Time since 1970, which never goes back.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -44,7 +44,8 @@
     Module(TimerToken),
     Attempt(RequestId, usize),
     Sweep,
-    Count,
+    /// At this time.
+    Count(Instant),
 }
 
 /// How the driver hangs together with the other parts.
@@ -115,7 +116,7 @@
             ledger: config.shared.map(Ledger::new),
         };
         driver.timers.insert(Due::Sweep, SWEEP);
-        driver.timers.insert(Due::Count, COUNT);
+        driver.count_later();
         driver.obey(orders);
         let known = List { full: true, ..config.known };
         if driver.ledger.as_mut().is_none_or(|ledger| ledger.enter(&known)) {
@@ -220,9 +221,10 @@
                 self.directory.sweep(Instant::now());
                 self.timers.insert(Due::Sweep, SWEEP);
             }
-            Due::Count => {
+            Due::Count(at) => {
+                self.metrics.loop_lag.record(at.elapsed());
                 self.count();
-                self.timers.insert(Due::Count, COUNT);
+                self.count_later();
             }
         }
     }
@@ -258,6 +260,11 @@
         self.metrics.avoided.set(avoided);
     }
 
+    fn count_later(&mut self) {
+        let at = Instant::now() + COUNT;
+        self.timers.insert_at(Due::Count(at), at);
+    }
+
     fn list(&mut self, list: List) {
         let scope = if list.full { ListScope::Full } else { ListScope::Delta };
         let members = self.directory.apply(list, &mut self.setup);
@@ -265,7 +272,10 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { id, command, at, answer } = arrival;
+        let Arrival { id, command, at, answer, client } = arrival;
+        if client.has_ended() {
+            return; // its answer would go nowhere
+        }
         let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
         let request = Request {
             id,
@@ -278,15 +288,21 @@
         let class = command.fact("c").filter(|_| request.class.is_some());
         let outcomes = class.map(|class| self.metrics.class(class));
         let until = Instant::now() + Duration::from_micros(request.budget);
-        let open =
-            Open { command: Arc::new(command), until, answer: Some(answer), attempts: Vec::new(), outcomes };
+        let (command, answer) = (Arc::new(command), Some(answer));
+        let (attempts, begun) = Default::default();
+        let open = Open { command, until, answer, attempts, begun, client, outcomes };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
 
     fn gone(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
-            open.answer = None;
+            if open.answer.take().is_some()
+                && let Some(ended_at) = open.client.ended_at()
+            {
+                let late = open.begun.iter().filter(|begun| begun.after(ended_at)).count();
+                self.metrics.note_client_end(ended_at.elapsed(), late);
+            }
             self.events.push_back(Event::ClientGone(id));
             self.stop_unwritten(id);
             self.close_if_done(id);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod operator;
 pub mod orders;
 mod peek;
+mod presence;
 mod relay;
 mod reload;
 mod request;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::orders::Orders;
+use crate::presence::Presence;
 use crate::relay::Stream;
 use crate::request::{Answer, Command};
 use crate::upstream::connection::Connection;
@@ -85,6 +86,7 @@
     /// When its last byte was read.
     pub at: Instant,
     pub answer: oneshot::Sender<Answer>,
+    pub client: Presence,
 }
 
 /// An attempt that has run to its end.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,9 +5,15 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
+use hdrhistogram::Histogram;
 use stonefold_observe::Dropped;
 
+/// The longest time that is told apart, and how many digits of each count.
+const LONGEST: Duration = Duration::from_secs(60);
+const DIGITS: u8 = 2;
+
 /// A number that only grows, or one that is set.
 #[derive(Default, Debug)]
 pub struct Figure(AtomicU64);
@@ -24,6 +30,33 @@
     }
 }
 
+/// Times, of which a quantile is shown. It takes some 20 KB, whatever it has seen.
+#[derive(Debug)]
+pub struct Times(Mutex<Histogram<u64>>);
+
+impl Default for Times {
+    fn default() -> Times {
+        let microseconds = Histogram::new_with_max(LONGEST.as_micros() as u64, DIGITS);
+        Times(Mutex::new(microseconds.expect("the bounds are in order")))
+    }
+}
+
+impl Times {
+    pub fn record(&self, time: Duration) {
+        let microseconds = time.as_micros().min(LONGEST.as_micros()) as u64;
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(microseconds);
+    }
+
+    /// A summary in the form of Prometheus, in seconds.
+    fn text(&self, text: &mut String, name: &str) {
+        let times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let quantile = times.value_at_quantile(0.99) as f64 / 1e6;
+        head(text, name, "summary");
+        let _ = writeln!(text, "{name}{{quantile=\"0.99\"}} {quantile}");
+        let _ = writeln!(text, "{name}_count {}", times.len());
+    }
+}
+
 /// How the requests of one class ended.
 #[derive(Default, Debug)]
 pub struct Outcomes {
@@ -41,6 +74,12 @@
     in_flight: Figure,
     pub listed: Figure,
     pub avoided: Figure,
+    /// How long after they were seen the ends of clients with an open request were acted on.
+    client_ends: Times,
+    /// Attempts begun after such an end was seen.
+    late_attempts: Figure,
+    /// How long what is due waits for its turn.
+    pub loop_lag: Times,
     pub reloads: Figure,
     pub reloads_refused: Figure,
     log: Dropped,
@@ -61,6 +100,13 @@
         }
     }
 
+    /// The end of a client with an open request: after what time it was acted on, and how many of the request's
+    /// attempts have begun meanwhile.
+    pub fn note_client_end(&self, late: Duration, attempts: usize) {
+        self.client_ends.record(late);
+        self.late_attempts.0.fetch_add(attempts as u64, Ordering::Relaxed);
+    }
+
     /// The figures as text for Prometheus.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -76,6 +122,7 @@
         }
         for (name, kind, value) in [
             ("svc_backend_calls_total", "counter", self.calls.get()),
+            ("svc_attempts_after_leave_total", "counter", self.late_attempts.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed.get()),
             ("svc_hosts_down", "gauge", self.avoided.get()),
@@ -86,6 +133,8 @@
             head(&mut text, name, kind);
             let _ = writeln!(text, "{name} {value}");
         }
+        self.client_ends.text(&mut text, "svc_leave_seen_seconds");
+        self.loop_lag.text(&mut text, "svc_loop_lag_seconds");
         text
     }
 }
@@ -116,45 +165,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_class_is_shown_from_nought_and_keeps_its_counts() {
-        let metrics = Metrics::default();
-        metrics.class("read").served.add_one();
-        metrics.class("put");
-        metrics.class("read").served.add_one();
-        let text = metrics.text();
-        for line in [
-            "svc_success_total{tier=\"read\"} 2",
-            "svc_success_total{tier=\"put\"} 0",
-            "svc_busy_total{tier=\"read\"} 0",
-            "svc_failure_total{tier=\"put\"} 0",
-            "svc_backend_calls_total 0",
-            "svc_inflight 0",
-            "svc_hosts_listed 0",
-            "svc_hosts_down 0",
-            "svc_reconfig_ok_total 0",
-            "svc_reconfig_failed_total 0",
-        ] {
-            assert!(text.lines().any(|l| l == line), "{line} in {text}");
-        }
-    }
-
-    #[test]
-    fn labels_are_escaped() {
-        let metrics = Metrics::default();
-        metrics.class("a\"b\\c\nd");
-        assert!(metrics.text().contains(r#"svc_busy_total{tier="a\"b\\c\nd"} 0"#), "{}", metrics.text());
-    }
-
-    #[test]
-    fn a_request_is_in_flight_while_its_guard_lives() {
-        let metrics = Arc::new(Metrics::default());
-        let guards = [(); 3].map(|()| InFlight::new(&metrics));
-        assert!(metrics.text().contains("svc_inflight 3\n"));
-        drop(guards);
-        assert!(metrics.text().contains("svc_inflight 0\n"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/node/src/metrics/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+
+#[test]
+fn a_class_is_shown_from_nought_and_keeps_its_counts() {
+    let metrics = Metrics::default();
+    metrics.class("read").served.add_one();
+    metrics.class("put");
+    metrics.class("read").served.add_one();
+    let text = metrics.text();
+    for line in [
+        "svc_success_total{tier=\"read\"} 2",
+        "svc_success_total{tier=\"put\"} 0",
+        "svc_busy_total{tier=\"read\"} 0",
+        "svc_failure_total{tier=\"put\"} 0",
+        "svc_backend_calls_total 0",
+        "svc_inflight 0",
+        "svc_hosts_listed 0",
+        "svc_hosts_down 0",
+        "svc_reconfig_ok_total 0",
+        "svc_reconfig_failed_total 0",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} in {text}");
+    }
+}
+
+#[test]
+fn labels_are_escaped() {
+    let metrics = Metrics::default();
+    metrics.class("a\"b\\c\nd");
+    assert!(metrics.text().contains(r#"svc_busy_total{tier="a\"b\\c\nd"} 0"#), "{}", metrics.text());
+}
+
+#[test]
+fn a_request_is_in_flight_while_its_guard_lives() {
+    let metrics = Arc::new(Metrics::default());
+    let guards = [(); 3].map(|()| InFlight::new(&metrics));
+    assert!(metrics.text().contains("svc_inflight 3\n"));
+    drop(guards);
+    assert!(metrics.text().contains("svc_inflight 0\n"));
+}
+
+#[test]
+fn late_ends_of_clients_show_as_a_quantile_in_seconds_and_as_a_count_of_attempts() {
+    let metrics = Metrics::default();
+    for ms in 1..=100 {
+        metrics.note_client_end(Duration::from_millis(ms), usize::from(ms > 98));
+    }
+    metrics.loop_lag.record(2 * LONGEST); // told apart no further than this
+    let text = metrics.text();
+    for line in [
+        "svc_attempts_after_leave_total 2",
+        "svc_leave_seen_seconds_count 100",
+        "svc_loop_lag_seconds_count 1",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} in {text}");
+    }
+    let quantile = |name: &str| -> f64 {
+        let head = format!("{name}{{quantile=\"0.99\"}} ");
+        text.lines().find_map(|line| line.strip_prefix(&head)).unwrap().parse().unwrap()
+    };
+    assert!((0.099..0.1).contains(&quantile("svc_leave_seen_seconds")), "{text}");
+    assert!((60.0..60.6).contains(&quantile("svc_loop_lag_seconds")), "{text}");
+}
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -13,7 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
-use super::leave::{Leave, Standing};
+use super::leave::{Begun, Leave, Standing};
+use crate::presence::Presence;
 
 /// A connection rests for so long before it is used again, if another can be.
 ///
@@ -169,8 +170,14 @@
         id
     }
 
-    /// Where to send to a server, and the connection to use, if one is at hand.
-    pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<Connection>)> {
+    /// Where to send to a server for this client, and the connection to use, if one is at hand.
+    pub fn check_out(
+        &mut self,
+        id: ServerId,
+        now: Instant,
+        client: Presence,
+        begun: Begun,
+    ) -> Option<(Target, Option<Connection>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         let mut pooled = None;
@@ -181,8 +188,8 @@
                 break;
             }
         }
-        let target =
-            Target { addr: server.addr, origin: server.origin, leave: Leave::new(server.standing.clone()) };
+        let leave = Leave::new(server.standing.clone(), client, begun);
+        let target = Target { addr: server.addr, origin: server.origin, leave };
         Some((target, pooled))
     }
 
