--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -207,9 +207,8 @@
                     self.list(list);
                 }
             }
-            Message::ListFailed => {
-                self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
-            }
+            // The watch comes again by itself; the list stays as it was.
+            Message::ListFailed => self.metrics.list_failures.add_one(),
         }
     }
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -28,6 +28,7 @@
     Begun(RequestId, usize, Stream),
     Ended(Ended),
     List(List),
+    /// A call for the list failed.
     ListFailed,
 }
 
@@ -45,7 +46,7 @@
 /// How the list of servers is followed.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Following {
-    /// Whether the module says when a failed call is repeated, and a fleet shares one discovery that is asked.
+    /// Whether a fleet shares one discovery that is asked; else it pushes lists.
     pub subscribe: bool,
     /// Without a subscription the list is asked for at least this often.
     pub ask_in: Duration,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -80,6 +80,8 @@
     late_attempts: Figure,
     /// How long what is due waits for its turn.
     pub loop_lag: Times,
+    /// Calls for the list that failed.
+    pub list_failures: Figure,
     pub reloads: Figure,
     pub reloads_refused: Figure,
     log: Dropped,
@@ -126,6 +128,7 @@
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed.get()),
             ("svc_hosts_down", "gauge", self.avoided.get()),
+            ("svc_list_failures_total", "counter", self.list_failures.get()),
             ("svc_reconfig_ok_total", "counter", self.reloads.get()),
             ("svc_reconfig_failed_total", "counter", self.reloads_refused.get()),
             ("svc_log_dropped_total", "counter", self.log.lines()),
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -16,6 +16,7 @@
         "svc_inflight 0",
         "svc_hosts_listed 0",
         "svc_hosts_down 0",
+        "svc_list_failures_total 0",
         "svc_reconfig_ok_total 0",
         "svc_reconfig_failed_total 0",
     ] {
