--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -445,6 +445,11 @@
         value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
     }
 
+    /// How many descriptors the process has.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -377,7 +377,7 @@
 }
 
 #[test]
-fn a_list_that_must_be_subscribed_to_is_asked_for_again_when_the_module_says_so() {
+fn a_list_that_must_be_subscribed_to_is_asked_for_again_after_a_failure() {
     let s = stage(1);
     let (known, discovery) = (list(41, &named(&s.caches), s.origin.addr), Fake::http());
     let settings = SETTINGS.replace("automatic", "subscribe");
