Tell how long a process took from its start until it served, and test that it is soon

Need: nine in ten restarted processes are ready within 10 s whatever discovery does, and the time is a figure and a field.

Change: the figure svc_ready_seconds, shown once the process serves, and the event `ready` with took_ms. Both count from the start of the command, before configuration and store are read. `listening` said "clients are served" before they are, where a store is waited for; it says that clients can connect.

A first form of the tests hung: the line was read by what waits for the addresses. The fake keeps those lines now, and waits for others no longer than its patience. The test module of the node's configuration has moved to a file of its own, whole.

--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -1,6 +1,6 @@
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 use stonefold_config::{Config as Tree, Layers, LogFormat, Store, load};
@@ -34,8 +34,10 @@
 
 /// Runs a node until it is told to stop.
 pub fn run(args: NodeArgs) -> Result<(), Failure> {
+    let started = Instant::now();
     let Some(path) = args.config.clone() else {
         let config = Config::from_source(Source::Platform).map_err(Failure::unusable)?;
+        let config = Config { started, ..config };
         return serve(config, &logging(Options::default(), &args)?);
     };
     let layers = Layers::new(Some(path.clone()), args.set.clone());
@@ -49,6 +51,7 @@
     let stored = store.map(keep).transpose()?;
     let file = File { path, flags: args.set, seed: fastrand::u64(..), stored: stored.clone() };
     let mut config = Config::from_source(Source::Document(Box::new(file))).map_err(Failure::unusable)?;
+    config.started = started; // before the store, which may wait for others
     config.shared = stored.map(|stored| stored as Arc<dyn Shared>);
     serve(config, &log)
 }
--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -255,8 +255,10 @@
     addr: SocketAddr,
     operator: Option<SocketAddr>,
     config: tempfile::NamedTempFile,
-    /// The log, held open though nobody reads it.
-    _log: Option<ChildStderr>,
+    /// The lines at its start.
+    said: Vec<String>,
+    /// The log, held open though nobody may read it.
+    log: Option<BufReader<ChildStderr>>,
 }
 
 /// The settings of the tests: classes of each effect, an origin beside the caches.
@@ -355,7 +357,7 @@
         }
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let (mut addr, mut operators) = (None, None);
+        let (mut addr, mut operators, mut said) = (None, None, Vec::new());
         while addr.is_none() || operator && operators.is_none() {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "ended at its start");
@@ -365,10 +367,11 @@
             };
             addr = told("listening").or(addr);
             operators = told("operator_listening").or(operators);
+            said.push(line);
         }
         // From here on nobody reads the log, which the node must not mind.
-        let log = unread.then(|| log.into_inner());
-        Node { child, addr: addr.unwrap(), operator: operators, config: file, _log: log }
+        let log = unread.then_some(log);
+        Node { child, addr: addr.unwrap(), operator: operators, config: file, said, log }
     }
 }
 
@@ -445,6 +448,20 @@
         value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
     }
 
+    /// A line of an event in the log, where that is held open; it is read on from here on.
+    pub fn logged(&mut self, event: &str) -> String {
+        let named = format!("event=\"{event}\"");
+        if let Some(line) = self.said.iter().find(|line| line.contains(&named)) {
+            return line.clone();
+        }
+        let (log, (to, lines)) = (self.log.take().expect("held open"), channel());
+        thread::spawn(move || {
+            let lines = log.lines().map_while(Result::ok).filter(|line| line.contains(&named));
+            lines.for_each(|line| _ = to.send(line)); // nobody waits any more
+        });
+        lines.recv_timeout(PATIENCE).expect("an event")
+    }
+
     /// How many descriptors the process has.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -309,8 +309,10 @@
     nodes[1].until("svc_hosts_listed", "1");
     nodes.clear();
     // Its start waits for the other, and not for good.
-    let alone = site.start(1, free(), "200ms");
+    let alone = site.start(1, free(), "2s");
     alone.until("svc_hosts_listed", "1");
+    let ready: f64 = alone.figure("svc_ready_seconds").parse().unwrap();
+    assert!((2.0..10.0).contains(&ready), "the wait counts, and is short: {ready}");
     let read = std::thread::spawn(move || (alone.read("c=read,d=2000"), alone));
     cache.call().value("v");
     assert_eq!(read.join().unwrap().0, "v");
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
+use std::time::Instant;
 use std::{fs, io};
 
 use serde::Deserialize;
@@ -18,6 +19,9 @@
 use crate::relay::Budget;
 use crate::shared::Shared;
 
+#[cfg(test)]
+mod tests;
+
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listeners, discovery, the runtimes' own, operators, and one to spare for a connection that is turned away.
 const RESERVED: usize = 22 + CALLERS;
@@ -41,6 +45,8 @@
     pub known: List,
     pub setup: Setup,
     pub file: Followed,
+    /// When the process started, as far as is known: the time to ready counts from here.
+    pub started: Instant,
     /// What all nodes keep together, where an installation has that.
     pub shared: Option<Arc<dyn Shared>>,
 }
@@ -224,6 +230,7 @@
     /// # Errors
     /// If it can't be read, lacks something or states what can't be used.
     pub fn from_source(source: Source) -> Result<Config, ConfigError> {
+        let started = Instant::now();
         let (file, value) = source.read()?;
         let processes = if handover::is_passed() { 2 } else { 1 };
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
@@ -241,6 +248,7 @@
             known: file.known,
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
             file: Followed { source, value },
+            started,
             shared: None,
         })
     }
@@ -278,22 +286,3 @@
 fn parse(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Address(name, text))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use stonefold_balancer::Settings;
-
-    /// Guards against: no pause at all between failed calls for the list, where the settings don't state how often
-    /// it has to be asked for.
-    #[test]
-    fn a_time_for_asking_that_is_not_stated_is_the_usual_one() {
-        for rules in ["{}", r#"{"MustAskIn":0}"#] {
-            let class = r#"{"Name":"read","Aim":1,"HardLimit":2,"Effect":"safe"}"#;
-            let text = format!(r#"{{"Classes":[{class}],"Guarantees":{rules},"RegistryMode":"subscribe"}}"#);
-            let stated: Stated = serde_json::from_str(&text).unwrap();
-            let setup = Setup::try_from(stated).unwrap();
-            assert_eq!(setup.settings.must_ask_in, Settings::default().must_ask_in);
-        }
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,7 +48,7 @@
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
     let listener = handover::listener(config.listen).await.map_err(io::Error::other)?;
-    info!(event = "listening", at = %listener.local_addr()?, "clients are served");
+    info!(event = "listening", at = %listener.local_addr()?, "clients can connect");
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
     let shared = config.shared.clone();
@@ -75,7 +75,7 @@
     });
     tokio::spawn(follow_kept(store.clone(), control.clone(), sender.clone()));
     let operator = config.operator;
-    let budget = config.relay_budget();
+    let (budget, started) = (config.relay_budget(), config.started);
     let file = std::mem::take(&mut config.file);
     let serving = Arc::new(AtomicBool::new(false));
     let wiring = Wiring {
@@ -107,11 +107,14 @@
         terms.clone(),
         closing.clone(),
         sessions.clone(),
-        metrics,
+        metrics.clone(),
         budget,
     );
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
+    let took = started.elapsed();
+    metrics.ready(took);
+    info!(event = "ready", took_ms = took.as_millis() as u64, "requests are served");
     tokio::select! {
         _ = stop.recv() => {}
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -85,6 +85,8 @@
     pub reloads: Figure,
     pub reloads_refused: Figure,
     log: Dropped,
+    /// From the start of the process until it served.
+    ready: OnceLock<Duration>,
 }
 
 impl Metrics {
@@ -93,6 +95,11 @@
         Metrics { log, ..Metrics::default() }
     }
 
+    /// The process serves from now on, so long after its start. Said again, it changes nothing.
+    pub fn ready(&self, took: Duration) {
+        let _ = self.ready.set(took);
+    }
+
     /// The counts of a class, which are shown from now on.
     pub fn class(&self, name: &str) -> Arc<Outcomes> {
         let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -138,6 +145,10 @@
         }
         self.client_ends.text(&mut text, "svc_leave_seen_seconds");
         self.loop_lag.text(&mut text, "svc_loop_lag_seconds");
+        if let Some(took) = self.ready.get() {
+            head(&mut text, "svc_ready_seconds", "gauge");
+            let _ = writeln!(text, "svc_ready_seconds {:.3}", took.as_secs_f64());
+        }
         text
     }
 }
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -62,3 +62,12 @@
     assert!((0.099..0.1).contains(&quantile("svc_leave_seen_seconds")), "{text}");
     assert!((60.0..60.6).contains(&quantile("svc_loop_lag_seconds")), "{text}");
 }
+
+#[test]
+fn the_time_to_ready_is_shown_once_it_is_known_and_stays() {
+    let metrics = Metrics::default();
+    assert!(!metrics.text().contains("svc_ready_seconds"));
+    metrics.ready(Duration::from_millis(1_234));
+    metrics.ready(Duration::from_secs(60));
+    assert!(metrics.text().contains("# TYPE svc_ready_seconds gauge\nsvc_ready_seconds 1.234\n"));
+}
