Count what servers say unasked, and connections used again soon

For the late second copy, which RESP2 can't tell from the next answer: `svc_unasked_total` counts idle connections to caches that were closed since more had come than was asked for (`unasked` at level trace names the server), `svc_reused_soon_total` those used again within 10 ms of their last answer. Nothing is decided otherwise than before. Test by real connections, passed with the code.

--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -210,6 +210,36 @@
     }
 }
 
+#[test]
+fn a_second_copy_on_an_idle_connection_is_counted_and_so_is_a_connection_that_is_used_again_soon() {
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let node = Start { operator: true, ..Start::new(&known, Fake::http().addr) }.node();
+    let mut client = node.client();
+    const COPY: &str = "*3\r\n$3\r\nold\r\n$3\r\nhit\r\n$-1\r\n";
+    client.get("k", "c=read,d=60000");
+    let mut call = cache.call();
+    call.answer(COPY);
+    assert_eq!(client.answer().as_deref(), Some("old"));
+    client.rest(); // longer than what counts as soon
+    call.answer(COPY);
+    client.get("l", "c=read,d=60000");
+    let call = cache.call();
+    assert_eq!(call.connection, 1);
+    call.value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert_eq!(["svc_unasked_total", "svc_reused_soon_total"].map(|name| node.figure(name)), [1.0, 0.0]);
+    let start = Instant::now();
+    while node.figure("svc_reused_soon_total") == 0.0 {
+        assert!(start.elapsed() < PATIENCE, "never used again so soon");
+        client.get("k", "c=read,d=60000");
+        cache.call().value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+        client.ping();
+    }
+    assert_eq!(node.figure("svc_unasked_total"), 1.0);
+}
+
 #[test]
 fn a_used_connection_that_breaks_while_a_write_goes_out_has_not_run_it() {
     let (cache, origin) = (Fake::cache_without_values(), Fake::http());
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -93,7 +93,7 @@
     pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
         let Wiring { budget, metrics, held, subscribe, to_self, inbox, control } = wiring;
         let (clock, settings) = (Clock::new(), config.setup.settings.clone());
-        let directory = Directory::new(Duration::from_micros(settings.keepalive));
+        let directory = Directory::new(Duration::from_micros(settings.keepalive), metrics.clone());
         let mut driver = Driver {
             balancer: Balancer::new(settings, config.seed, clock.now()),
             metrics,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -71,6 +71,10 @@
     classes: Mutex<BTreeMap<String, Arc<Outcomes>>>,
     /// Attempts written whole to servers.
     pub calls: Figure,
+    /// Idle connections to caches on which more has come than was asked for.
+    pub unasked: Figure,
+    /// Connections used again so soon that such a thing could yet have come.
+    pub reused_soon: Figure,
     in_flight: Figure,
     pub listed: Figure,
     pub avoided: Figure,
@@ -132,6 +136,8 @@
         for (name, kind, value) in [
             ("svc_backend_calls_total", "counter", self.calls.get()),
             ("svc_attempts_after_leave_total", "counter", self.late_attempts.get()),
+            ("svc_unasked_total", "counter", self.unasked.get()),
+            ("svc_reused_soon_total", "counter", self.reused_soon.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed.get()),
             ("svc_hosts_down", "gauge", self.avoided.get()),
--- a/crates/node/src/peek.rs
+++ b/crates/node/src/peek.rs
@@ -11,3 +11,9 @@
     let mut byte = [MaybeUninit::uninit()];
     SockRef::from(stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
+
+/// Whether the peer has sent something that is not read.
+pub fn something_has_come(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|bytes| bytes > 0)
+}
--- a/crates/node/src/upstream/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -14,7 +14,7 @@
 use super::leave::Leave;
 use super::reply::Reply;
 use crate::metrics::Figure;
-use crate::peek::nothing_has_come;
+use crate::peek::{nothing_has_come, something_has_come};
 use crate::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 use crate::request::Command;
 
@@ -36,6 +36,11 @@
         nothing_has_come(&self.0)
     }
 
+    /// Whether the server has said something unasked, a second copy of its answer say.
+    pub fn has_unasked(&self) -> bool {
+        something_has_come(&self.0)
+    }
+
     /// Sends one request, which the node waits for until then, and waits for its answer.
     pub async fn ask(
         mut self,
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -23,6 +23,14 @@
         })
     }
 
+    /// Whether the server has said something unasked, as far as that can be told: of the origin it shows as a close.
+    pub fn has_unasked(&self) -> bool {
+        match self {
+            Connection::Cache(connection) => connection.has_unasked(),
+            Connection::Origin(_) => false,
+        }
+    }
+
     /// Whether the server has left it open and said nothing unasked.
     pub fn is_live(&self) -> bool {
         match self {
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -3,17 +3,19 @@
 use std::borrow::Cow;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use stonefold_balancer::setup::{Setup, micros};
 use stonefold_balancer::{Member, MemberState, ServerId};
 use stonefold_proto::list::{Entry, List, State};
 use tokio::time::Instant;
-use tracing::info;
+use tracing::{info, trace};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
 use super::leave::{Begun, Leave, Standing};
+use crate::metrics::Metrics;
 use crate::presence::Presence;
 
 /// A connection rests for so long before it is used again, if another can be.
@@ -22,6 +24,9 @@
 /// meets the next request when that follows at once.
 const REST: Duration = Duration::from_millis(1);
 
+/// A connection that is used again this soon after its last answer may meet a second copy of it.
+const SOON: Duration = Duration::from_millis(10);
+
 /// Names that are known after they have left the list.
 ///
 /// Guards against: an order for a server that has died and will be back, taken for a slip of the pen.
@@ -57,12 +62,13 @@
     gone: VecDeque<String>,
     /// An idle connection is closed at this age: before the server does it.
     idle_limit: Duration,
+    metrics: Arc<Metrics>,
 }
 
 impl Directory {
-    pub fn new(keepalive: Duration) -> Self {
+    pub fn new(keepalive: Duration, metrics: Arc<Metrics>) -> Self {
         let (servers, banned, gone) = Default::default();
-        let mut directory = Directory { servers, banned, gone, idle_limit: Duration::ZERO };
+        let mut directory = Directory { servers, banned, gone, idle_limit: Duration::ZERO, metrics };
         directory.set_keepalive(keepalive);
         directory
     }
@@ -183,7 +189,10 @@
         let mut pooled = None;
         while let Some(place) = server.idle.iter().rposition(|(since, _)| now >= *since + REST) {
             let (since, connection) = server.idle.remove(place);
-            if now < since + limit && connection.is_live() {
+            if now < since + limit && is_live(&server.name, now - since, &connection, &self.metrics) {
+                if now < since + SOON {
+                    self.metrics.reused_soon.add_one();
+                }
                 pooled = Some(connection);
                 break;
             }
@@ -211,7 +220,9 @@
     pub fn sweep(&mut self, now: Instant) {
         let limit = self.idle_limit;
         for server in self.servers.values_mut() {
-            server.idle.retain(|(since, connection)| now < *since + limit && connection.is_live());
+            server.idle.retain(|(since, connection)| {
+                now < *since + limit && is_live(&server.name, now - *since, connection, &self.metrics)
+            });
         }
     }
 
@@ -245,6 +256,21 @@
     }
 }
 
+/// Whether an idle connection may be used again; counts those on which the server has said something unasked.
+fn is_live(server: &str, idle: Duration, connection: &Connection, metrics: &Metrics) -> bool {
+    let live = connection.is_live();
+    if !live && connection.has_unasked() {
+        metrics.unasked.add_one();
+        trace!(
+            event = "unasked",
+            server,
+            idle_us = idle.as_micros() as u64,
+            "a server has said more than it was asked"
+        );
+    }
+    live
+}
+
 /// Remembers a name that has left the list, unless a ban does. Returns false, for what is dropped with it.
 fn note_gone(gone: &mut VecDeque<String>, name: &str, banned: bool) -> bool {
     if !banned && !gone.iter().any(|known| known == name) {
