Deal a cold server's budget to all nodes in whole calls that add up

Cause: each node saves up its own part of what a cold server stands, and at least one call. Where the budget N is smaller than the number of nodes, all of them hold one call and may send it in one span: parts agree on average and don't add up. Ruled out: estimates (they were true), the unsteady traffic (all nodes saw the same).

The crate is pure and not yet used: tokens of the budget, dealt by rank in an order that all nodes compute alike from the server's id, and a sliding window log at each node.

--- /dev/null
+++ b/crates/allotment/examples/ramps.rs
@@ -0,0 +1,45 @@
+//! Plays ramps of a cold server under fleets of several sizes in virtual time, and tells what came of them.
+//!
+//!     cargo run --release -p stonefold-allotment --example ramps [RAMPS [SEED]]
+//!
+//! The same seed gives the same figures.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use fleet::*;
+
+fn main() {
+    let mut numbers = std::env::args().skip(1).map(|text| text.parse::<u64>());
+    let mut number = |usual| match numbers.next() {
+        Some(Ok(number)) => number,
+        None => usual,
+        Some(Err(error)) => {
+            eprintln!("ramps: RAMPS and SEED are whole numbers: {error}");
+            std::process::exit(2);
+        }
+    };
+    let (ramps, seed) = (number(1_000), number(1));
+    println!("{ramps} ramps from seed {seed}; one node in ten restarted, one server in five started twice");
+    println!(
+        "demand: times N from all nodes together, or everywhere times a node's part (one call a span at least)"
+    );
+    println!("nodes  estimates   demand           excess/sqrt(N)  falls  sent/N  sent/demand");
+    for nodes in [4, 20, 30, 300, 900] {
+        for (name, noisy, bias, demand) in [
+            ("true", false, 1.0, Demand::Everywhere(8.0)),
+            ("noisy", true, 1.0, Demand::Everywhere(8.0)),
+            ("noisy x0.7", true, 0.7, Demand::Everywhere(8.0)),
+            ("noisy x1.1", true, 1.1, Demand::Everywhere(8.0)),
+            ("noisy", true, 1.0, Demand::Together(3.0)),
+            ("noisy", true, 1.0, Demand::Together(0.3)),
+        ] {
+            let plan = Plan { nodes, capacity: 0.0, demand, bias, noisy, restarted: 0.1, twice: true };
+            let Sum { worst, falls, used, served } = play_many(plan, ramps, seed);
+            let demand = format!("{demand:?}");
+            println!(
+                "{nodes:>5}  {name:<10}  {demand:<15} {worst:>15.2}  {falls:>5}  {used:>6.2}  {served:>11.2}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/allotment/tests/fleet/mod.rs
@@ -0,0 +1,212 @@
+//! A fleet that sends to one cold server, in virtual time, decided by the crate alone.
+#![allow(dead_code)] // the example and the tests each use a part
+
+use std::collections::VecDeque;
+
+use fastrand::Rng;
+use stonefold_allotment::*;
+
+pub const SECOND: Micros = 1_000_000;
+
+/// As a site might state it.
+pub const RAMP: Ramp = Ramp { cold: 9 * SECOND, cold_from: 0.3, overload_factor: 3.0, fall: 3 * SECOND / 2 };
+
+/// The rates from which nodes estimate decay with this time, in seconds.
+const TAU: f64 = 2.25;
+
+/// What arrives for the server.
+#[derive(Clone, Copy, Debug)]
+pub enum Demand {
+    /// So many times its budget, from all nodes together.
+    Together(f64),
+    /// At each node so many times its part of the budget, and of one call a span.
+    Everywhere(f64),
+}
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub nodes: usize,
+    /// Calls a second that the warm server stands.
+    pub capacity: f64,
+    pub demand: Demand,
+    /// The mean of the nodes' estimates, as a part of the truth.
+    pub bias: f64,
+    /// Nodes differ in traffic (lognormal, and one in thirty sees five times as much) and each estimates from its
+    /// own. Else all see and know the same.
+    pub noisy: bool,
+    /// The part of the nodes that are restarted within the ramp.
+    pub restarted: f64,
+    /// The server starts once more within the ramp.
+    pub twice: bool,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran {
+    /// The most by which a span passed its budget `N`, in roots of `N`.
+    pub excess: f64,
+    /// Some span held more than `N + 2√N + 2`.
+    pub fell: bool,
+    /// What was sent, as a part of all budgets.
+    pub used: f64,
+    /// What was sent, as a part of what arrived.
+    pub served: f64,
+}
+
+/// A node's estimate of the capacity, from what it serves itself: its own traffic stands for all nodes' alike.
+struct Estimate {
+    mean: f64,
+    deviation: f64,
+    error: f64,
+    at: Micros,
+}
+
+impl Estimate {
+    /// A rate of `rate` calls a second, counted with a decay of `TAU`, times what makes the capacity of it.
+    fn new(rate: f64, mean: f64, rng: &mut Rng) -> Self {
+        let deviation = if rate > 0.0 { (1.0 / (2.0 * TAU * rate)).sqrt() } else { 0.0 };
+        Estimate { mean, deviation, error: deviation * normal(rng), at: 0 }
+    }
+    fn now(&mut self, now: Micros, rng: &mut Rng) -> f64 {
+        let kept = (-((now - self.at) as f64) / 1e6 / TAU).exp();
+        self.error = self.error * kept + self.deviation * (1.0 - kept * kept).sqrt() * normal(rng);
+        self.at = now;
+        self.mean * (1.0 + self.error).max(0.0)
+    }
+}
+
+fn normal(rng: &mut Rng) -> f64 {
+    (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * (std::f64::consts::TAU * rng.f64()).cos()
+}
+
+struct Node {
+    allotment: Allotment,
+    estimate: Estimate,
+    /// Restarted at this time, if at all.
+    restart: Option<Micros>,
+}
+
+/// Calls that one server got, against what it stands.
+pub struct Pressure {
+    calls: VecDeque<Micros>,
+    pub ran: Ran,
+}
+
+impl Pressure {
+    pub fn new() -> Self {
+        let ran = Ran { excess: f64::NEG_INFINITY, fell: false, used: 0.0, served: 0.0 };
+        Pressure { calls: VecDeque::new(), ran }
+    }
+    /// A new process of the server: what the one before got is void.
+    pub fn restart(&mut self) {
+        self.calls.clear();
+    }
+    pub fn call(&mut self, now: Micros, budget: f64) {
+        self.calls.push_back(now);
+        while self.calls.front().is_some_and(|&at| now - at >= RAMP.fall) {
+            self.calls.pop_front();
+        }
+        let over = self.calls.len() as f64 - budget;
+        self.ran.excess = self.ran.excess.max(over / budget.sqrt());
+        self.ran.fell |= over > 2.0 * budget.sqrt() + 2.0;
+    }
+}
+
+/// How much of all traffic each node sees, 1 being the mean.
+fn shares(plan: &Plan, rng: &mut Rng) -> Vec<f64> {
+    let mut share = || if rng.f64() < 1.0 / 30.0 { 5.0 } else { (normal(rng) / 2.0).exp() };
+    let shares: Vec<f64> = (0..plan.nodes).map(|_| if plan.noisy { share() } else { 1.0 }).collect();
+    let mean = shares.iter().sum::<f64>() / plan.nodes as f64;
+    shares.into_iter().map(|share| share / mean).collect()
+}
+
+/// Plays one ramp.
+pub fn play(plan: &Plan, seed: u64) -> Ran {
+    let mut rng = Rng::with_seed(seed);
+    let server = rng.u64(..);
+    let shares = shares(plan, &mut rng);
+    // Two cache servers for three nodes: what a node serves in all.
+    let usual = plan.capacity * 2.0 / 3.0;
+    let sender = |index, since| Sender::new(Some(index), plan.nodes, since, 0);
+    let mut start = 20 * SECOND; // the server's
+    let node = |(index, share): (usize, &f64)| {
+        let rate = if plan.noisy { usual * share } else { 0.0 };
+        let mut allotment = Allotment::new(server);
+        allotment.begin(&sender(index, 0), start, start, &RAMP);
+        let within = start + rng.u64(0..RAMP.cold);
+        let restart = (rng.f64() < plan.restarted).then_some(within);
+        let estimate = Estimate::new(rate, plan.bias * plan.capacity * share, &mut rng);
+        Node { allotment, estimate, restart }
+    };
+    let mut nodes: Vec<Node> = shares.iter().enumerate().map(node).collect();
+    let upto: Vec<f64> = shares.iter().scan(0.0, |sum, share| Some((*sum += share, *sum).1)).collect();
+    let mut again = plan.twice.then(|| start + rng.u64(SECOND..RAMP.cold));
+    let arriving = |age| match (plan.demand, RAMP.budget(plan.capacity, age)) {
+        (Demand::Together(times), budget) => times * budget,
+        (Demand::Everywhere(times), budget) => times * budget.max(plan.nodes as f64),
+    };
+    let most = arriving(RAMP.cold + RAMP.fall); // calls in a span, once the server is warm
+    let (mut pressure, mut now, mut arrived, mut sent, mut budgets) = (Pressure::new(), start, 0.0, 0.0, 0.0);
+    loop {
+        let pause = (-(1.0 - rng.f64()).ln() / most * RAMP.fall as f64) as Micros;
+        let stood = RAMP.budget(plan.capacity, now - start + RAMP.fall / 2) / RAMP.fall as f64;
+        budgets += stood * pause as f64;
+        now += pause;
+        if now >= start + RAMP.cold {
+            break;
+        }
+        if let Some(at) = again.take_if(|at| now >= *at) {
+            start = at;
+            pressure.restart();
+            for (index, node) in nodes.iter_mut().enumerate() {
+                let since = node.restart.filter(|&restart| restart <= now).unwrap_or(0);
+                node.allotment.begin(&sender(index, since), start, now, &RAMP);
+            }
+        }
+        if rng.f64() * most > arriving(now - start) {
+            continue;
+        }
+        arrived += 1.0;
+        let dice = rng.f64() * plan.nodes as f64;
+        let index = upto.partition_point(|&sum| sum < dice).min(plan.nodes - 1);
+        let node = &mut nodes[index];
+        if let Some(at) = node.restart.filter(|&at| at <= now && at > start) {
+            node.restart = None;
+            node.allotment = Allotment::new(server);
+            node.allotment.begin(&sender(index, at), start, at, &RAMP);
+        }
+        let capacity = node.estimate.now(now, &mut rng);
+        if node.allotment.left(&RAMP, capacity, now) > 0 {
+            node.allotment.spend(&RAMP, now);
+            sent += 1.0;
+            pressure.call(now, RAMP.budget(plan.capacity, now - start));
+        }
+    }
+    Ran { used: sent / budgets, served: sent / arrived, ..pressure.ran }
+}
+
+/// What came of many ramps of the same kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Sum {
+    pub worst: f64,
+    pub falls: usize,
+    pub used: f64,
+    pub served: f64,
+}
+
+/// Plays `ramps` ramps by seeds from `seed` on, with capacities between 10 and 100 calls a second and, one in
+/// five, two starts of the server.
+pub fn play_many(plan: Plan, ramps: u64, seed: u64) -> Sum {
+    let mut sum = Sum { worst: f64::NEG_INFINITY, falls: 0, used: 0.0, served: 0.0 };
+    for seed in seed..seed + ramps {
+        let mut rng = Rng::with_seed(!seed);
+        let (capacity, twice) = (10.0 * 10f64.powf(rng.f64()), plan.twice && rng.u8(0..5) == 0);
+        let ran = play(&Plan { capacity, twice, ..plan }, seed);
+        sum.worst = sum.worst.max(ran.excess);
+        sum.falls += usize::from(ran.fell);
+        sum.used += ran.used / ramps as f64;
+        sum.served += ran.served / ramps as f64;
+    }
+    sum
+}
