Send cold servers the allotted whole calls, by Me and Siblings

Cause: `allowance()` let each node save up a part of a send, and at least one whole one, from its own traffic. With more nodes than the budget has calls all of them could send one in the same span.

Every send already passes `send()`, which now spends from `stonefold_allotment::Allotment`: first and further tries, copies, fetched-for reads, a return by `ENABLE`. The estimate of a server's capacity stays what it was (what we serve per cache), times the nodes. `Me` is read from the settings; without it the index comes from the process's seed. A server that a list omits once keeps its log for a span.

--- a/crates/allotment/src/lib.rs
+++ b/crates/allotment/src/lib.rs
@@ -76,6 +76,7 @@
     of: usize,
     since: Micros,
     seed: u64,
+    told: bool,
 }
 
 impl Sender {
@@ -84,9 +85,9 @@
     /// One that isn't told its index, or one out of range, takes an index by `seed`: parts agree on average then
     /// and need not add up.
     pub fn new(index: Option<usize>, of: usize, since: Micros, seed: u64) -> Self {
-        let of = of.max(1);
-        let index = index.filter(|&index| index < of).unwrap_or((seed % of as u64) as usize);
-        Sender { index, of, since, seed }
+        let (of, told) = (of.max(1), index.filter(|&index| index < of));
+        let index = told.unwrap_or((seed % of as u64) as usize);
+        Sender { index, of, since, seed, told: told.is_some() }
     }
 
     /// The same process under another index, or among more or fewer.
@@ -137,8 +138,9 @@
         let own = place(index);
         let before = |&other: &u64| (place(other), other) < (own, index);
         self.rank = (0..of).filter(before).count() as u64;
-        // The low bits of the same hash: independent of the rank.
-        self.phase = (own & 0xffff) as f64 / 65_536.0;
+        // The low bits of the same hash, which are independent of the rank. An index drawn by seed may be that of others.
+        let bits = if sender.told { own } else { place(sender.seed) };
+        self.phase = (bits & 0xffff) as f64 / 65_536.0;
         (self.index, self.of) = (index, of);
     }
 
--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -7,6 +7,8 @@
 //! second [`Request`] with an id still in use. Each [`Action::Send`] must be answered by exactly
 //! one [`Event::Outcome`]; while one is missing, the module keeps the attempt on its books.
 
+use stonefold_allotment::Ramp;
+
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
 
@@ -106,6 +108,9 @@
     pub quantum: Micros,
     /// Nodes that send to these servers, this one included.
     pub nodes: usize,
+    /// Which of them this one is, counting from 0. Without it, or out of range, the parts of cold servers that nodes
+    /// take agree on average only.
+    pub node_index: Option<usize>,
     /// Idle connections close by themselves after this time.
     pub keepalive: Micros,
     /// The zone of this node, comparable with [`Member::zone`].
@@ -135,6 +140,7 @@
             fall: 1_000_000,
             quantum: 1_000,
             nodes: 1,
+            node_index: None,
             keepalive: 60_000_000,
             zone: None,
             cross_zone_price: 0.0,
@@ -142,6 +148,18 @@
     }
 }
 
+impl Settings {
+    /// How a started server warms up and what it stands meanwhile.
+    pub fn ramp(&self) -> Ramp {
+        Ramp {
+            cold: self.cold,
+            cold_from: self.cold_from,
+            overload_factor: self.overload_factor,
+            fall: self.fall,
+        }
+    }
+}
+
 /// State of a member of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberState {
--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use stonefold_allotment::Sender;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::api::*;
@@ -28,8 +29,6 @@
 const COPY_SHARE: f64 = 0.1;
 const RETRY_SHARE: f64 = 0.2;
 const SAVED: f64 = 10.0;
-/// The part of the collapse budget of cold caches that is used; a quarter more can be saved up.
-const COLD_PART: f64 = 0.75;
 /// Requests that are not served count so many times, against the belief that the fleet bears what arrives.
 const MANY: f64 = 4.0;
 /// A gate whose attempts go badly in more than this part is overrun, not unlucky.
@@ -60,6 +59,7 @@
     settings: Settings,
     rng: fastrand::Rng,
     now: Micros,
+    sender: Sender, // which of all nodes this is
     servers: BTreeMap<ServerId, Server>,
     /// Those out by hand, listed or not, and since when others are back.
     banned: BTreeSet<ServerId>,
@@ -98,6 +98,7 @@
         Balancer {
             rng: fastrand::Rng::with_seed(seed),
             now,
+            sender: Sender::new(settings.node_index, settings.nodes, now, seed),
             servers: BTreeMap::new(),
             banned: BTreeSet::new(),
             returned: BTreeMap::new(),
@@ -169,6 +170,9 @@
         }
         let tenants = settings.tenant_shares.len().max(self.tenants.len());
         self.tenants.resize_with(tenants, || Rate::new(self.now));
+        self.sender = self.sender.moved(settings.node_index, settings.nodes);
+        let cold = self.servers.values_mut().filter(|s| s.cold_since.is_some());
+        cold.for_each(|s| s.allotment.resize(&self.sender));
         self.settings = settings;
     }
 
@@ -199,13 +203,15 @@
             let server =
                 self.servers.entry(member.id).or_insert_with(|| Server::new(member.clone(), self.now));
             if server.cold_since != cold_since {
-                // Cold and innocent again. Guards against: hundreds of nodes whose allowances grow in step.
-                server.restart(cold_since, self.now, self.rng.f64());
+                server.restart(cold_since, self.now, &self.sender, &self.settings);
             }
             server.banned = self.banned.contains(&member.id);
             server.member = member;
         }
-        self.servers.retain(|_, s| s.member.state != MemberState::Removed || !s.out.is_empty());
+        // Guards against: a part spent twice, where a list omits a cold server once.
+        let (fall, now) = (self.settings.fall, self.now);
+        let kept = |s: &Server| !s.out.is_empty() || s.allotment.spent_in(fall, now) > 0;
+        self.servers.retain(|_, s| s.member.state != MemberState::Removed || kept(s));
         self.take_stock();
     }
 
@@ -307,7 +313,7 @@
         }
         ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.member.id.cmp(&b.1.member.id)));
         let well = |s: &&Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
-        let usable = |s: &&Server| well(s) && self.allowance(s) >= 1.0 && !self.cut_off(s);
+        let usable = |s: &&Server| well(s) && self.allowance(s) > 0 && !self.cut_off(s);
         let ranked = || ranked.iter().map(|&(_, s)| s);
         let set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
         if set.is_empty() { ranked().take(SET).collect() } else { set }
@@ -396,20 +402,17 @@
         s.warmth(&self.settings, self.now) < 1.0
     }
 
-    /// Sends that a cold cache can take from us now. What we serve for each cache, by what its kind does in
-    /// comparison, is our part of their capacity; every node keeping to that part, the cold one is not pushed
-    /// over.
-    fn allowance(&self, s: &Server) -> f64 {
+    /// Sends that a cold cache can take from us now: our whole calls of what all nodes may send it together.
+    /// What we serve for each cache, by what its kind does in comparison, times the nodes, is what it stands.
+    fn allowance(&self, s: &Server) -> u64 {
         if !self.cold(s) {
-            return f64::INFINITY;
+            return u64::MAX;
         }
         let all: f64 = self.kinds.values().map(|kind| kind.weight / self.slowness(kind)).sum();
         let slowness = self.kinds.get(&s.member.kind).map_or(1.0, |kind| self.slowness(kind));
-        let share = self.borne() * s.member.weight / slowness / all.max(f64::MIN_POSITIVE);
-        let rate = share * s.warmth(&self.settings, self.now) * self.settings.overload_factor * COLD_PART;
-        let (saved, at) = s.allowance;
-        let burst = (rate * self.settings.fall as f64 / 4e6).max(1.0);
-        (saved + rate * (self.now - at) as f64 / 1e6).min(burst)
+        let share = s.member.weight / slowness / all.max(f64::MIN_POSITIVE);
+        let capacity = self.borne() * self.settings.nodes as f64 * share;
+        s.allotment.left(&self.settings.ramp(), capacity, self.now)
     }
 
     /// How slow a kind is in comparison, where the list tells no sizes.
@@ -471,16 +474,18 @@
             }),
         };
         // A cold cache gets no more than our part of what it can take, whoever asks.
-        let allowance = self.allowance(s);
-        if !allowed || allowance < 1.0 {
+        if !allowed || self.allowance(s) == 0 {
             return false;
         }
+        let cold = self.cold(s);
         let (left, suspect, origin) = (r.deadline - self.now, self.suspect(s), s.member.origin);
         let (hedge_in, due_in) = (timing.late(4.0), timing.late(6.0).max(1));
         let hedges = self.may_copy(r) && r.outstanding() == 0 && !origin && hedge_in < left;
         let s = self.servers.get_mut(&to).expect("looked up above");
         let r = self.open.get_mut(&id).expect("looked up above");
-        s.allowance = (allowance - 1.0, self.now);
+        if cold {
+            s.allotment.spend(&self.settings.ramp(), self.now);
+        }
         let zone = self.zones.entry(s.member.zone).or_default();
         let retry_at = self.now + 4 * due_in; // readmitted by a trickle
         s.retry_at = if suspect { retry_at } else { s.retry_at };
--- a/crates/balancer/src/health.rs
+++ b/crates/balancer/src/health.rs
@@ -151,11 +151,10 @@
         self.banned.remove(&server);
         self.returned.retain(|_, t| self.now.saturating_sub(*t) < self.settings.cold);
         self.returned.insert(server, since.min(self.now));
-        let saved = self.rng.f64();
         let cold_since = self.servers.get(&server).and_then(|s| self.cold_since(&s.member));
         if let Some(s) = self.servers.get_mut(&server) {
             s.banned = false;
-            s.restart(cold_since, self.now, saved);
+            s.restart(cold_since, self.now, &self.sender, &self.settings);
         }
         self.take_stock();
     }
--- a/crates/balancer/src/setup.rs
+++ b/crates/balancer/src/setup.rs
@@ -33,6 +33,8 @@
     #[serde(default)]
     siblings: usize,
     #[serde(default)]
+    me: Option<i64>,
+    #[serde(default)]
     tenants: Vec<TenantSetup>,
     #[serde(default)]
     weights: String,
@@ -249,6 +251,7 @@
             fall: micros(rules.fall),
             quantum: micros(setup.quantum),
             nodes: setup.siblings.max(1),
+            node_index: setup.me.and_then(|me| usize::try_from(me).ok()),
             zone: setup
                 .zone
                 .filter(|zone| setup.dcs.contains(zone))
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use stonefold_allotment::{Allotment, Sender};
+
 use crate::api::*;
 
 /// A rate, from a sum that decays with `tau` microseconds.
@@ -182,13 +184,14 @@
     pub silent: u32,
     /// While it is left out: when one request may try it again.
     pub retry_at: Micros,
-    /// Saved-up sends while cold, and when that was reckoned.
-    pub allowance: (f64, Micros),
+    /// Our part of what it stands while it is cold.
+    pub allotment: Allotment,
 }
 
 impl Server {
     pub fn new(member: Member, now: Micros) -> Self {
         Server {
+            allotment: Allotment::new(member.id.0.into()),
             member,
             banned: false,
             cold_since: None,
@@ -201,7 +204,6 @@
             idle_part: 1.0,
             silent: 0,
             retry_at: now,
-            allowance: (0.0, now),
         }
     }
     /// Until when a connection to it may idle; for ever where none does.
@@ -215,18 +217,16 @@
         self.out.remove(&entry);
         Some(entry.0)
     }
-    /// Started anew: cold, unless that is long ago, and innocent, with some part of a send saved up.
-    pub fn restart(&mut self, cold_since: Option<Micros>, now: Micros, saved: f64) {
+    /// Started anew: cold, unless that is long ago, and innocent. What it was sent before still counts.
+    pub fn restart(&mut self, cold_since: Option<Micros>, now: Micros, sender: &Sender, settings: &Settings) {
         (self.cold_since, self.slowness, self.silent) = (cold_since, 1.0, 0);
-        self.allowance = (saved, now);
+        if let Some(start) = cold_since {
+            self.allotment.begin(sender, start, now, &settings.ramp());
+        }
     }
     /// The part of its capacity that it has for certain, by what the settings state.
     pub fn warmth(&self, settings: &Settings, now: Micros) -> f64 {
-        let from = settings.cold_from.clamp(0.0, 1.0);
-        match self.cold_since.map(|t| now.saturating_sub(t)).filter(|&age| age < settings.cold) {
-            Some(age) => from + (1.0 - from) * age as f64 / settings.cold as f64,
-            None => 1.0,
-        }
+        self.cold_since.map_or(1.0, |start| settings.ramp().warmth(now.saturating_sub(start)))
     }
     /// The origin, in service.
     pub fn is_origin(&self) -> bool {
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -128,3 +128,17 @@
         assert!(!error.contains('\n') && output.is_empty());
     }
 }
+
+#[test]
+fn the_nodes_index_among_its_siblings_is_read() {
+    use stonefold_balancer::setup::{Setup, Stated};
+    let index = |me: &str| {
+        let text = SETUP.replace("\"FamilyInfo\"", &format!("{me}\"Siblings\":4,\"FamilyInfo\""));
+        let stated: Stated = serde_json::from_str(&text).unwrap();
+        Setup::try_from(stated).unwrap().settings.node_index
+    };
+    assert_eq!(index("\"Me\":3,"), Some(3));
+    assert_eq!(index(""), None);
+    assert_eq!(index("\"Me\":-1,"), None);
+    assert_eq!(index("\"Me\":null,"), None);
+}
