Cut the emulator's discovery loose from its world

Cause: a fleet of hollow nodes needs the emulator's discovery, and that could be had only with a whole site: for 900 nodes before 340 servers 306,000 listeners of cache servers that nobody calls. `discovery.rs` took the model, the clock, the version and the judge out of `World`, which in turn started it: one of nine files in a circle.

Change: `discovery::Service` has the model, its time and what each node's calls took; what stands behind it is a `Registry`, of which the world is one. `locked`, `EmulatorError` and the clock have files of their own, `listen` and `addr_of` went to `port`. discovery, port, http and request are out of the circle: world, cache, origin, control and faults are left in it. The clock is the runtime's, so that it can stand still in a test.

--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -17,9 +17,11 @@
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
+use crate::error::EmulatorError;
+use crate::lock::locked;
 use crate::port::{Listeners, reset};
 use crate::request;
-use crate::world::{EmulatorError, GRAIN, Server, World, locked};
+use crate::world::{GRAIN, Server, World};
 
 /// The longest command.
 const LARGEST: usize = (4 << 20) + (8 << 10);
--- a/crates/emulator/src/discovery.rs
+++ b/crates/emulator/src/discovery.rs
@@ -1,114 +1,216 @@
 //! Discovery behind sockets: the whole list, or a watch on changes.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use stonefold_model::{Listed, Listing, State};
+use stonefold_model::site::DiscoveryKind;
+use stonefold_model::{Discovery, Listed, Listing, Micros};
 use stonefold_proto::resp::fact;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
 
+use crate::clock::Clock;
+use crate::counted::{Counted, Traffic};
 use crate::http::{self, Answer, Gone};
+use crate::lock::locked;
 use crate::port::accept;
-use crate::world::{World, locked};
 
 /// A watch waits no longer than this, whatever it asks for.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
-pub(crate) fn serve(world: &Arc<World>, listeners: Vec<TcpListener>) {
-    for (node, listener) in listeners.into_iter().enumerate() {
-        let (of, stop) = (world.clone(), world.stop.clone());
-        accept(listener, stop, move |stream, end| {
-            let world = of.clone();
-            async move { http::connection(stream, end, |request| call(world.clone(), node, request)).await }
-        });
+/// What stands behind a discovery: what it tells of each server, and who takes note.
+pub trait Registry: Send + Sync + 'static {
+    /// The entry of a server, as a node is told it; nothing for a server that there never was.
+    fn entry(&self, node: usize, listed: &Listed) -> Option<Value>;
+    /// Entries of every whole list beside the servers.
+    fn standing(&self, _node: usize) -> Vec<Value> {
+        Vec::new()
+    }
+    /// A node is being told this.
+    fn telling(&self, _node: usize, _listing: &mut Listing) {}
+    /// Discovery has come to know of these changes, the last of which made this version.
+    fn learned(&self, _version: u64, _changes: &[Listed]) {}
+}
+
+/// Calls of one node, and what they took.
+#[derive(Debug, Default)]
+struct Calls {
+    /// Calls that were answered with a list, and those that were turned away.
+    answered: AtomicU64,
+    refused: AtomicU64,
+    traffic: Arc<Traffic>,
+}
+
+/// What one node's calls came to so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Calls that were answered with a list.
+    pub answered: u64,
+    /// Calls that were turned away.
+    pub refused: u64,
+    /// Connections that it made.
+    pub connections: u64,
+    /// Bytes that it sent, without the headers of TCP and IP.
+    pub received_bytes: u64,
+    /// Bytes that it was sent.
+    pub sent_bytes: u64,
+}
+
+/// The model of discovery, and its time.
+pub struct Service {
+    model: Mutex<Discovery>,
+    /// The version of the list that discovery knows.
+    version: watch::Sender<u64>,
+    clock: Clock,
+    stop: CancellationToken,
+    calls: Vec<Calls>,
+}
+
+impl Service {
+    /// A discovery that knows of these servers, for so many nodes, until `stop`.
+    pub fn new(
+        kind: &DiscoveryKind,
+        seed: u64,
+        servers: impl IntoIterator<Item = usize>,
+        nodes: usize,
+        clock: Clock,
+        stop: CancellationToken,
+    ) -> Service {
+        let model = Discovery::new(kind, seed, servers);
+        let version = watch::channel(model.version()).0;
+        let calls = (0..nodes).map(|_| Calls::default()).collect();
+        Service { model: Mutex::new(model), version, clock, stop, calls }
+    }
+
+    /// It will come to know how a server stands.
+    pub fn note(&self, listed: Listed) {
+        locked(&self.model).note(self.clock.now(), listed);
+        self.version.send_modify(|_| {}); // wakes the one who waits for the model's next event
+    }
+
+    /// Answers nobody until then.
+    pub fn away(&self, until: Micros) {
+        locked(&self.model).away(until);
+    }
+
+    /// Learns nothing new until then.
+    pub fn stale(&self, until: Micros) {
+        locked(&self.model).stale(until);
+    }
+
+    /// The whole list as it would be told now.
+    pub fn listing(&self) -> Listing {
+        locked(&self.model).tell(None)
+    }
+
+    /// Whether there is something that it will come to know.
+    pub fn is_learning(&self) -> bool {
+        locked(&self.model).next_event().is_some()
+    }
+
+    /// What the calls of a node came to so far.
+    pub fn counts(&self, node: usize) -> Counts {
+        let Some(Calls { answered, refused, traffic }) = self.calls.get(node) else {
+            return Counts::default();
+        };
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Counts {
+            answered: of(answered),
+            refused: of(refused),
+            connections: of(&traffic.connections),
+            received_bytes: of(&traffic.received),
+            sent_bytes: of(&traffic.sent),
+        }
+    }
+
+    /// Answers each node at a listener of its own.
+    pub fn serve(self: &Arc<Self>, listeners: Vec<TcpListener>, registry: Arc<impl Registry>) {
+        for (node, listener) in listeners.into_iter().enumerate() {
+            let (of, registry, stop) = (self.clone(), registry.clone(), self.stop.clone());
+            accept(listener, stop, move |stream, end| {
+                let (service, registry) = (of.clone(), registry.clone());
+                async move {
+                    let traffic = service.calls.get(node).map(|calls| calls.traffic.clone());
+                    let stream = Counted::new(stream, traffic.unwrap_or_default());
+                    let answer = |request| call(service.clone(), registry.clone(), node, request);
+                    http::connection(stream, end, answer).await;
+                }
+            });
+        }
+        tokio::spawn(learn(self.clone(), registry));
+    }
+
+    fn count(&self, node: usize, of: impl Fn(&Calls) -> &AtomicU64) {
+        self.calls.get(node).map(of).into_iter().for_each(|count| _ = count.fetch_add(1, Ordering::Relaxed));
     }
-    tokio::spawn(learn(world.clone()));
 }
 
 /// Lets discovery learn what it has to, in its time.
-async fn learn(world: Arc<World>) {
-    let mut noted = world.version.subscribe();
+async fn learn(service: Arc<Service>, registry: Arc<impl Registry>) {
+    let mut noted = service.version.subscribe();
     loop {
-        let next = locked(&world.discovery).next_event().map(|at| world.instant(at));
+        let next = locked(&service.model).next_event().map(|at| service.clock.instant(at));
         tokio::select! {
-            () = world.stop.cancelled() => return,
+            () = service.stop.cancelled() => return,
             _ = noted.changed() => {}
             () = sleep_until(next.unwrap_or_else(tokio::time::Instant::now)), if next.is_some() => {}
         }
-        let learned = locked(&world.discovery).advance(world.now());
-        if let Some(version) = learned {
-            world.version.send_replace(version);
+        if let Some(version) = advance(&service, &*registry) {
+            service.version.send_replace(version);
             noted.mark_unchanged();
         }
     }
 }
 
-async fn call(world: Arc<World>, node: usize, request: Request<Incoming>) -> Result<Answer, Gone> {
+fn advance(service: &Service, registry: &impl Registry) -> Option<u64> {
+    let mut model = locked(&service.model);
+    let before = model.version();
+    let version = model.advance(service.clock.now())?;
+    // Before any node can be told of it.
+    registry.learned(version, &model.tell(Some(before)).servers);
+    Some(version)
+}
+
+async fn call(
+    service: Arc<Service>,
+    registry: Arc<impl Registry>,
+    node: usize,
+    request: Request<Incoming>,
+) -> Result<Answer, Gone> {
     if request.method() != Method::GET || request.uri().path() != "/discovery/hosts" {
         return Ok(http::answer(StatusCode::NOT_FOUND, ""));
     }
     let query = request.uri().query().unwrap_or_default().replace('&', ",");
     let number = |name: &str| fact(&query, name).and_then(|text| text.parse::<u64>().ok());
     let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms").unwrap_or(0)));
-    let answered = locked(&world.discovery).call(world.now());
-    let Some(at) = answered else { return Ok(http::answer(StatusCode::SERVICE_UNAVAILABLE, "")) };
-    sleep_until(world.instant(at)).await;
+    let answered = locked(&service.model).call(service.clock.now());
+    let Some(at) = answered else {
+        service.count(node, |calls| &calls.refused);
+        return Ok(http::answer(StatusCode::SERVICE_UNAVAILABLE, ""));
+    };
+    sleep_until(service.clock.instant(at)).await;
     if let Some(after) = after {
-        let mut version = world.version.subscribe();
+        let mut version = service.version.subscribe();
         // Its end without news is an answer too.
         let _ = timeout(wait.min(LONGEST_WAIT), version.wait_for(|version| *version > after)).await;
     }
-    Ok(http::json(StatusCode::OK, &tell(&world, node, after)))
+    let mut listing = locked(&service.model).tell(after);
+    registry.telling(node, &mut listing);
+    service.count(node, |calls| &calls.answered);
+    Ok(http::json(StatusCode::OK, &document(&*registry, node, &listing)))
 }
 
-/// What a node is told now; the judge takes note.
-fn tell(world: &World, node: usize, after: Option<u64>) -> Value {
-    let listing = locked(&world.discovery).tell(after);
-    let now = world.now();
-    let mut judge = world.judge();
-    let serving = |l: &&Listed| l.state == State::Serving;
+/// A listing as a node is told it.
+pub fn document(registry: &impl Registry, node: usize, listing: &Listing) -> Value {
+    let mut servers: Vec<Value> = listing.servers.iter().filter_map(|l| registry.entry(node, l)).collect();
     if listing.full {
-        let up: Vec<usize> = listing.servers.iter().filter(serving).map(|l| l.server).collect();
-        judge.told_all(now, node, &up, world.all_servers().len());
-    } else {
-        listing.servers.iter().for_each(|l| judge.told(now, node, l.server, l.state == State::Serving));
-    }
-    drop(judge);
-    document(world, node, &listing)
-}
-
-/// The whole list as it would be told now, of which nobody takes note.
-pub(crate) fn known(world: &World, node: usize) -> Value {
-    let listing = locked(&world.discovery).tell(None);
-    document(world, node, &listing)
-}
-
-fn document(world: &World, node: usize, listing: &Listing) -> Value {
-    let mut servers: Vec<Value> = listing.servers.iter().filter_map(|l| entry(world, node, l)).collect();
-    if listing.full {
-        servers.push(
-            json!({"id": "origin", "addr": world.origin.addr(node), "zone": "", "kind": "origin", "cell": 0,
-            "state": "SERVING", "weight": 1.0, "started_ms": 0}),
-        );
+        servers.extend(registry.standing(node));
     }
     json!({"version": listing.version, "full": listing.full, "servers": servers})
 }
-
-fn entry(world: &World, node: usize, listed: &Listed) -> Option<Value> {
-    let server = world.server(listed.server)?;
-    let state = match listed.state {
-        State::Serving => "SERVING",
-        State::Draining => "DRAINING",
-        State::Deleted => "DELETED",
-    };
-    let started = if listed.started == 0 { 0 } else { world.unix_ms(listed.started) };
-    Some(
-        json!({"id": server.id(), "addr": server.port.addr(node)?, "zone": world.site.network.zones.get(server.zone)?,
-        "kind": world.site.caches[server.group].kind, "cell": server.number / 4, "state": state, "weight": 1.0,
-        "started_ms": started}),
-    )
-}
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 use tracing::info;
 
-use crate::world::{Server, World, locked};
+use crate::world::{Server, World};
 
 /// Plays the site's faults in their time.
 pub(crate) fn play(world: &Arc<World>) {
@@ -45,8 +45,8 @@
             world.origin.slow(factor);
             after(world, lasts, |world| world.origin.slow(1.0));
         }
-        FaultKind::DiscoveryAway => locked(&world.discovery).away(until),
-        FaultKind::DiscoveryStale => locked(&world.discovery).stale(until),
+        FaultKind::DiscoveryAway => world.discovery.away(until),
+        FaultKind::DiscoveryStale => world.discovery.stale(until),
         FaultKind::Partition => {
             let zone = world.site.network.zones.iter().position(|name| Some(name) == fault.zone.as_ref());
             zone.into_iter().for_each(|zone| world.cut(zone, until));
--- a/crates/emulator/src/http.rs
+++ b/crates/emulator/src/http.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
@@ -37,8 +38,9 @@
 pub(crate) struct Gone;
 
 /// Serves one connection until either side ends it, or it is told to.
-pub(crate) async fn connection<F, Fut>(stream: TcpStream, end: CancellationToken, serve: F)
+pub(crate) async fn connection<S, F, Fut>(stream: S, end: CancellationToken, serve: F)
 where
+    S: AsyncRead + AsyncWrite + Unpin + Into<TcpStream>,
     F: Fn(Request<Incoming>) -> Fut,
     Fut: Future<Output = Result<Answer, Gone>>,
 {
@@ -47,7 +49,7 @@
         .serve_connection(TokioIo::new(stream), service_fn(serve));
     tokio::select! {
         _ = &mut serving => {} // however it ended, it is over
-        () = end.cancelled() => reset(serving.into_parts().io.into_inner()),
+        () = end.cancelled() => reset(serving.into_parts().io.into_inner().into()),
     }
 }
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,16 +6,22 @@
 #![warn(missing_docs)]
 
 mod cache;
+mod clock;
 mod config;
 mod control;
-mod discovery;
+mod counted;
+pub mod discovery;
+mod error;
 mod faults;
 mod http;
 mod load;
+mod lock;
 mod origin;
 mod port;
 mod request;
 mod world;
 
+pub use clock::Clock;
+pub use error::EmulatorError;
 pub use load::{Figures, Load, Summary};
-pub use world::{Emulator, EmulatorError, Options};
+pub use world::{Emulator, Options};
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -19,8 +19,9 @@
 use tokio::time::{sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
+use crate::lock::locked;
 use crate::request::{self, is_for};
-use crate::world::{Emulator, World, locked};
+use crate::world::{Emulator, World};
 
 /// Requests out at once; beyond that the load says that it was the bottleneck.
 const MOST_OUT: usize = 20_000;
--- a/crates/emulator/src/origin.rs
+++ b/crates/emulator/src/origin.rs
@@ -18,10 +18,12 @@
 use tokio::time::sleep_until;
 use tracing::info;
 
+use crate::error::EmulatorError;
 use crate::http::{self, Answer, Gone};
+use crate::lock::locked;
 use crate::port::Listeners;
 use crate::request;
-use crate::world::{EmulatorError, GRAIN, World, locked};
+use crate::world::{GRAIN, World};
 
 /// The origin's sockets, its model, and who waits for it.
 pub(crate) struct OriginPort {
--- a/crates/emulator/src/port.rs
+++ b/crates/emulator/src/port.rs
@@ -1,7 +1,7 @@
 //! Listeners, one for each node, that can be closed and opened again at the same addresses.
 
 use std::future::Future;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -10,7 +10,8 @@
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
 
-use crate::world::{EmulatorError, addr_of, listen, locked};
+use crate::error::EmulatorError;
+use crate::lock::locked;
 
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -109,3 +110,13 @@
     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     drop(stream);
 }
+
+/// Listens at an address.
+pub(crate) async fn listen(at: SocketAddr) -> Result<TcpListener, EmulatorError> {
+    TcpListener::bind(at).await.map_err(|source| EmulatorError::Listen { at, source })
+}
+
+pub(crate) fn addr_of(listener: &TcpListener) -> SocketAddr {
+    // A bound listener has an address; were it gone, nothing could be told apart from this.
+    listener.local_addr().unwrap_or_else(|_| SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0))
+}
--- a/crates/emulator/src/request.rs
+++ b/crates/emulator/src/request.rs
@@ -10,7 +10,7 @@
 use stonefold_proto::resp::fact;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::world::locked;
+use crate::lock::locked;
 
 /// Requests whose misses are remembered; more than are ever open at once.
 const REMEMBERED: usize = 100_000;
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,28 +1,26 @@
 //! What all parts of the emulator share, and how it starts.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use serde_json::{Value, json};
 use stonefold_config::Wrong;
 use stonefold_model::site::{Fault, Site};
-use stonefold_model::{Cache, Discovery, Judge, Micros, Network, State, Verdict};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use stonefold_model::{Cache, Judge, Listed, Listing, Micros, Network, State, Verdict};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::cache::CachePort;
+use crate::clock::Clock;
+use crate::discovery::{Registry, Service, document};
+use crate::error::EmulatorError;
+use crate::lock::locked;
 use crate::origin::OriginPort;
+use crate::port::{addr_of, listen};
 use crate::request::{self, Misses};
-use crate::{control, discovery, faults};
-
-/// Guards a lock's data even after a panic elsewhere: what is in it is still true.
-pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+use crate::{control, faults};
 
 /// Timers wake up to a millisecond late: what is due within it is done now, so that times are right on the whole.
 pub(crate) const GRAIN: Micros = 1_000;
@@ -45,22 +43,6 @@
     }
 }
 
-/// Why a site can't be played.
-#[derive(Debug, thiserror::Error)]
-pub enum EmulatorError {
-    /// An address is taken, or can't be listened at.
-    #[error("cannot listen at {at}: {source}")]
-    Listen {
-        /// The address.
-        at: SocketAddr,
-        /// Why.
-        source: io::Error,
-    },
-    /// Something else than loopback.
-    #[error("{0} is no loopback address: the emulator listens on loopback alone")]
-    NotLoopback(IpAddr),
-}
-
 /// One cache server, under its id for good: a successor is another.
 pub(crate) struct Server {
     pub number: usize,
@@ -74,17 +56,13 @@
 pub(crate) struct World {
     pub site: Site,
     pub ip: IpAddr,
-    start: Instant,
-    /// Unix time at the start.
-    epoch: Duration,
+    pub clock: Clock,
     pub judge: Mutex<Judge>,
     pub network: Mutex<Network>,
     /// Servers by their numbers; those that have gone stay in their place.
     pub servers: RwLock<Vec<Arc<Server>>>,
     pub origin: OriginPort,
-    pub discovery: Mutex<Discovery>,
-    /// The version of the list that discovery knows.
-    pub version: watch::Sender<u64>,
+    pub discovery: Arc<Service>,
     pub misses: Misses,
     /// Zones cut off from the others now.
     pub cut_off: Mutex<BTreeMap<usize, Micros>>,
@@ -97,16 +75,16 @@
 
 impl World {
     pub fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
+        self.clock.now()
     }
 
     pub fn instant(&self, at: Micros) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.start + Duration::from_micros(at))
+        self.clock.instant(at)
     }
 
     /// Unix time of a moment, in ms.
     pub fn unix_ms(&self, at: Micros) -> u64 {
-        (self.epoch + Duration::from_micros(at)).as_millis() as u64
+        self.clock.unix_ms(at)
     }
 
     pub fn judge(&self) -> MutexGuard<'_, Judge> {
@@ -155,8 +133,7 @@
 
     /// Discovery will come to know how a server stands.
     pub fn note(&self, server: usize, state: State, started: Micros) {
-        locked(&self.discovery).note(self.now(), stonefold_model::Listed { server, state, started });
-        self.version.send_modify(|_| {}); // wakes the one who waits for discovery's next event
+        self.discovery.note(Listed { server, state, started });
     }
 
     /// Servers that run at the start hold what they were asked for before, the most popular longest used.
@@ -200,6 +177,41 @@
     }
 }
 
+impl Registry for World {
+    fn entry(&self, node: usize, listed: &Listed) -> Option<Value> {
+        let server = self.server(listed.server)?;
+        let state = match listed.state {
+            State::Serving => "SERVING",
+            State::Draining => "DRAINING",
+            State::Deleted => "DELETED",
+        };
+        let started = if listed.started == 0 { 0 } else { self.unix_ms(listed.started) };
+        Some(
+            json!({"id": server.id(), "addr": server.port.addr(node)?, "zone": self.site.network.zones.get(server.zone)?,
+            "kind": self.site.caches[server.group].kind, "cell": server.number / 4, "state": state, "weight": 1.0,
+            "started_ms": started}),
+        )
+    }
+
+    fn standing(&self, node: usize) -> Vec<Value> {
+        vec![json!({"id": "origin", "addr": self.origin.addr(node), "zone": "", "kind": "origin", "cell": 0,
+            "state": "SERVING", "weight": 1.0, "started_ms": 0})]
+    }
+
+    /// The judge takes note.
+    fn telling(&self, node: usize, listing: &mut Listing) {
+        let now = self.now();
+        let mut judge = self.judge();
+        let serving = |l: &&Listed| l.state == State::Serving;
+        if listing.full {
+            let up: Vec<usize> = listing.servers.iter().filter(serving).map(|l| l.server).collect();
+            judge.told_all(now, node, &up, self.all_servers().len());
+        } else {
+            listing.servers.iter().for_each(|l| judge.told(now, node, l.server, l.state == State::Serving));
+        }
+    }
+}
+
 /// A site at play. Dropped, it ends, and nothing of it is left.
 pub struct Emulator {
     pub(crate) world: Arc<World>,
@@ -227,17 +239,18 @@
             discoveries.push(listen(SocketAddr::new(options.ip, 0)).await?);
         }
         let network = &site.network;
+        let clock = Clock::start();
+        let known = 0..site.cache_count();
+        let service = Service::new(&site.discovery, seed, known, nodes, clock, stop.clone());
         let distant = network.same_zone.us() > 0 || network.cross_zone[1].us() > 0;
         let world = Arc::new(World {
             ip: options.ip,
-            start: Instant::now(),
-            epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+            clock,
             judge: Mutex::new(Judge::new(&site.rules)),
             network: Mutex::new(Network::new(&site.network, seed)),
             servers: RwLock::default(),
             origin,
-            discovery: Mutex::new(Discovery::new(&site.discovery, seed, 0..site.cache_count())),
-            version: watch::channel(1).0,
+            discovery: Arc::new(service),
             misses: Misses::default(),
             cut_off: Mutex::default(),
             stop,
@@ -256,7 +269,7 @@
         world.hold_popular();
         world.origin.serve(&world);
         let discovery = discoveries.iter().map(addr_of).collect();
-        discovery::serve(&world, discoveries);
+        world.discovery.serve(discoveries, world.clone());
         let control_addr = addr_of(&control);
         control::serve(&world, control);
         if options.faults {
@@ -282,7 +295,7 @@
 
     /// The list as a node would be told it now: what it starts with.
     pub fn known(&self, node: usize) -> serde_json::Value {
-        discovery::known(&self.world, node)
+        document(&*self.world, node, &self.world.discovery.listing())
     }
 
     /// The zone in which a node stands, by name.
@@ -332,13 +345,3 @@
         })
     }
 }
-
-/// Listens at an address.
-pub(crate) async fn listen(at: SocketAddr) -> Result<TcpListener, EmulatorError> {
-    TcpListener::bind(at).await.map_err(|source| EmulatorError::Listen { at, source })
-}
-
-pub(crate) fn addr_of(listener: &TcpListener) -> SocketAddr {
-    // A bound listener has an address; were it gone, nothing could be told apart from this.
-    listener.local_addr().unwrap_or_else(|_| SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0))
-}
