Let a node's control run without its request path

Cause: what 900 nodes' control costs can't be measured with 900 processes: `run` wires the watch, the driver and the module to a listener, signals and operators.

Change: `hollow::run` is the same wiring without clients, operators, signals and the configuration's source: the node's own `Watch`, `Driver`, `Directory`, `Balancer` and the look at kept orders. What the watch tells passes through it, so that it can tell what is in force after each list. `Driver::run` is now `step` until it ends; `run` of the program takes no other way than before.

--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -129,18 +129,39 @@
 
     /// Runs until nobody can tell it anything.
     pub async fn run(mut self) {
-        loop {
-            tokio::select! {
-                biased;
-                Some(control) = self.control.recv() => self.directed(control),
-                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
-                message = self.inbox.recv() => match message {
-                    Some(message) => self.told(message),
-                    None => return,
-                },
-            }
-            self.decide();
+        while self.step().await {}
+    }
+
+    /// Waits for what comes next, and does what follows from it; false once nobody can tell it anything. Cancelled,
+    /// it has done nothing.
+    pub async fn step(&mut self) -> bool {
+        tokio::select! {
+            biased;
+            Some(control) = self.control.recv() => self.directed(control),
+            Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
+            message = self.inbox.recv() => match message {
+                Some(message) => self.told(message),
+                None => return false,
+            },
         }
+        self.decide();
+        true
+    }
+
+    /// Takes a message at once, and does what follows from it.
+    pub fn take(&mut self, message: Message) {
+        self.told(message);
+        self.decide();
+    }
+
+    /// The servers as they are known.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// How many servers the module has, and how many of them it avoids.
+    pub fn stock(&self) -> (usize, usize) {
+        self.balancer.stock()
     }
 
     fn directed(&mut self, control: Control) {
--- /dev/null
+++ b/crates/node/src/hollow.rs
@@ -0,0 +1,79 @@
+//! A node's control without its request path: the watch on discovery, the list, the module, the orders that are kept.
+//! Clients, operators, signals and the configuration's source are left out; what is left is the node's own code.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+
+use stonefold_balancer::MemberState;
+use stonefold_observe::Dropped;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::config::Config;
+use crate::desk::follow_kept;
+use crate::driver::{Driver, Wiring};
+use crate::message::{Message, Terms};
+use crate::metrics::Metrics;
+use crate::orders::{Kept, Orders, Store};
+use crate::{CONTROLS, discovery};
+
+/// What a node goes by, right after it took over a list.
+pub struct Acted<'a> {
+    /// The version of the list.
+    pub version: u64,
+    driver: &'a Driver,
+}
+
+impl Acted<'_> {
+    /// How a server was last listed, and since when it runs in ms of Unix time; nothing if it is not listed.
+    pub fn listed(&self, name: &str) -> Option<(MemberState, f64)> {
+        self.driver.directory().listed(name)
+    }
+
+    /// How many servers are listed, as the node has it and as the module does.
+    pub fn servers(&self) -> (usize, usize) {
+        (self.driver.directory().len(), self.driver.stock().0)
+    }
+}
+
+/// Runs a node's control until it is dropped, and tells of each list that it took over.
+pub async fn run(mut config: Config, mut acted: impl FnMut(Acted<'_>)) {
+    let (sender, inbox) = mpsc::unbounded_channel();
+    // What the watch tells passes through here, so that it is known when it is in force.
+    let (to_driver, mut heard) = mpsc::unbounded_channel();
+    let subscribe = Arc::new(Notify::new());
+    let known = (!config.known.servers.is_empty()).then_some(config.known.version);
+    let (_address, address) = watch::channel(config.discovery);
+    let (_terms, terms) = watch::channel(Terms::of(&config.setup));
+    let watching = discovery::Watch::new(subscribe.clone(), known, terms, config.seed, to_driver);
+    let (control, directions) = mpsc::channel(CONTROLS);
+    let store = Arc::new(Kept::File(Store::of_node()));
+    store.changed();
+    config.file = Default::default();
+    let wiring = Wiring {
+        budget: config.relay_budget(),
+        metrics: Arc::new(Metrics::new(Dropped::default())),
+        held: Arc::new(AtomicUsize::new(0)),
+        subscribe,
+        to_self: sender.clone(),
+        inbox,
+        control: directions,
+    };
+    let limit = config.server_connections();
+    let mut driver = Driver::new(config, limit, wiring, store.load().unwrap_or_else(|_| Orders::new()));
+    let _following = AbortOnDropHandle::new(tokio::spawn(follow_kept(store, control, sender.clone())));
+    let _watching = AbortOnDropHandle::new(tokio::spawn(watching.run(address)));
+    loop {
+        tokio::select! {
+            biased;
+            Some(message) = heard.recv() => {
+                let version = if let Message::List(list) = &message { Some(list.version) } else { None };
+                driver.take(message);
+                if let Some(version) = version {
+                    acted(Acted { version, driver: &driver });
+                }
+            }
+            going = driver.step() => if !going { return },
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod driver;
 mod handover;
+pub mod hollow;
 mod message;
 mod metrics;
 mod operator;
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -157,6 +157,17 @@
         free.next().expect("the ids outnumber the servers")
     }
 
+    /// How a server of this name was last listed, and since when it runs in ms of Unix time; nothing if it is not.
+    pub fn listed(&self, name: &str) -> Option<(MemberState, f64)> {
+        let server = self.servers.get(&self.id_of(name)).filter(|server| server.name == name)?;
+        Some((server.state, server.started_ms))
+    }
+
+    /// How many servers are listed.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Whether this is the name of a server that is listed, was listed lately, or is out by hand.
     pub fn knows(&self, name: &str) -> bool {
         let listed = self.servers.values().map(|server| &server.name);
