Measure what control costs against size, with its fit, and with hollow nodes

Nothing told how a decision, a balancer's memory, the store's members or a node's control grow, nor whether a change is missed at that size.

Measured are decisions, the balancer's memory, the store's members (its own code), and hollow nodes over loopback with real ones beside them. It is a program of its own, to which `stonefold lab` hands over: the node's program carries no symbol of it or of plotters.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -42,6 +43,13 @@
     /// Change the configuration that all nodes of a store share.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Measure what the node's control costs against the size of what stands round it; see `stonefold lab --help`.
+    #[command(disable_help_flag = true)]
+    Lab {
+        /// What the laboratory is asked for.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
     /// Print completions for a shell.
     #[command(
         after_help = "Example: stonefold completions bash > ~/.local/share/bash-completion/completions/stonefold"
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod demo;
 pub mod emulate;
+pub mod lab;
 pub mod node;
 pub mod request;
 pub mod store;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -23,6 +23,7 @@
         Command::Call(args) => commands::call::run(args),
         Command::Store(command) => commands::store::run(command),
         Command::Config(command) => commands::store::config(command),
+        Command::Lab { args } => commands::lab::run(&args),
         Command::Completions { shell } => commands::texts::completions(shell),
         Command::Man => commands::texts::man(),
     };
--- /dev/null
+++ b/crates/cli/tests/lab.rs
@@ -0,0 +1,65 @@
+//! The laboratory as this program hands over to it, and its hollow nodes beside real ones.
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+
+use stonefold_config::{Count, Millis, Positive};
+use stonefold_lab::experiment::{Hollow, Vary};
+use stonefold_lab::hollow::play::Play;
+use stonefold_lab::measure::hollow::measure;
+use stonefold_model::site::DiscoveryKind;
+use tokio_util::sync::CancellationToken;
+
+const STONEFOLD: &str = env!("CARGO_BIN_EXE_stonefold");
+
+#[test]
+fn the_laboratory_is_a_program_beside_this_one_and_gets_all_arguments() {
+    let folder = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).unwrap();
+    let program = folder.path().join("stonefold");
+    fs::hard_link(STONEFOLD, &program).unwrap();
+    let call = || {
+        Command::new(&program)
+            .args(["lab", "scale", "plan.toml", "--set", "repeats=4", "--help"])
+            .output()
+            .unwrap()
+    };
+
+    let absent = call();
+    assert_eq!(absent.status.code(), Some(1));
+    let said = String::from_utf8(absent.stderr).unwrap();
+    assert!(said.contains("stonefold-lab") && said.contains("cargo build"), "{said}");
+
+    let lab = folder.path().join("stonefold-lab");
+    fs::write(&lab, "#!/bin/sh\necho \"$@\"\nexit 130\n").unwrap();
+    fs::set_permissions(&lab, PermissionsExt::from_mode(0o755)).unwrap();
+    let there = call();
+    assert_eq!(there.status.code(), Some(130), "its exit code is ours");
+    assert_eq!(String::from_utf8(there.stdout).unwrap(), "scale plan.toml --set repeats=4 --help\n");
+}
+
+/// A hollow node says to discovery what a real one says; what it takes of the processor is less by what a process of
+/// its own and the lists' log take.
+#[test]
+fn a_hollow_node_costs_what_a_real_ones_control_does() {
+    let of = Hollow {
+        vary: Vary::Nodes,
+        nodes: Count::new(20),
+        real_nodes: Count::new(10),
+        servers: Count::new(100),
+        changes_per_min: Count::new(240),
+        lasts: Millis::new(8_000),
+        catch_up: Millis::new(30_000),
+        play: Play::Calm,
+        subscribe: true,
+        discovery: DiscoveryKind { calls_per_s: Positive::new(2_000.0), ..DiscoveryKind::default() },
+    };
+    let figures = measure(&of, 7, Path::new(STONEFOLD), &CancellationToken::new()).unwrap();
+    assert_eq!(figures.broken, Vec::<String>::new());
+    let ratio = |name: &str| figures.figures[&format!("hollow_to_real_{name}")];
+    for name in ["calls_per_s", "wire_bytes_per_s"] {
+        assert!((0.9..1.1).contains(&ratio(name)), "{name}: {:?}", figures.figures);
+    }
+    assert!((0.3..1.5).contains(&ratio("core_percent")), "{:?}", figures.figures);
+}
