--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -4,11 +4,14 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::process::Command;
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use stonefold_config::{Count, Millis, Positive};
 use stonefold_lab::experiment::{Hollow, Vary};
 use stonefold_lab::hollow::play::Play;
-use stonefold_lab::measure::hollow::measure;
+use stonefold_lab::measure::hollow::{HollowError, measure};
 use stonefold_model::site::DiscoveryKind;
 use tokio_util::sync::CancellationToken;
 
@@ -39,23 +42,32 @@
     assert_eq!(String::from_utf8(there.stdout).unwrap(), "scale plan.toml --set repeats=4 --help\n");
 }
 
-/// A hollow node says to discovery what a real one says; what it takes of the processor is less by what a process of
-/// its own and the lists' log take.
-#[test]
-fn a_hollow_node_costs_what_a_real_ones_control_does() {
-    let of = Hollow {
+/// Tests that start nodes are alone with theirs.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn beside_real_nodes(lasts_ms: u64) -> Hollow {
+    Hollow {
         vary: Vary::Nodes,
         nodes: Count::new(20),
         real_nodes: Count::new(10),
         servers: Count::new(100),
         changes_per_min: Count::new(240),
-        lasts: Millis::new(8_000),
+        lasts: Millis::new(lasts_ms),
         catch_up: Millis::new(30_000),
         play: Play::Calm,
+        plant: None,
         subscribe: true,
         discovery: DiscoveryKind { calls_per_s: Positive::new(2_000.0), ..DiscoveryKind::default() },
-    };
-    let figures = measure(&of, 7, Path::new(STONEFOLD), &CancellationToken::new()).unwrap();
+    }
+}
+
+/// A hollow node says to discovery what a real one says, and takes of the processor what a real one does, but for
+/// what a process of its own takes.
+#[test]
+fn a_hollow_node_costs_what_a_real_ones_control_does() {
+    let _alone = ALONE.lock();
+    let figures =
+        measure(&beside_real_nodes(8_000), 7, Path::new(STONEFOLD), &CancellationToken::new()).unwrap();
     assert_eq!(figures.broken, Vec::<String>::new());
     let ratio = |name: &str| figures.figures[&format!("hollow_to_real_{name}")];
     for name in ["calls_per_s", "wire_bytes_per_s"] {
@@ -63,3 +75,36 @@
     }
     assert!((0.3..1.5).contains(&ratio("core_percent")), "{:?}", figures.figures);
 }
+
+/// Processes that this one has started and that have not ended.
+fn nodes() -> usize {
+    let tasks = fs::read_dir("/proc/self/task").unwrap().map(|task| task.unwrap().path().join("children"));
+    let children = tasks.flat_map(fs::read_to_string).collect::<Vec<_>>().concat();
+    let runs = |id: &&str| {
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        stat.rsplit(") ").next().is_some_and(|rest| !rest.is_empty() && !rest.starts_with('Z'))
+    };
+    children.split_whitespace().filter(runs).count()
+}
+
+#[test]
+fn told_to_stop_it_leaves_no_node_behind() {
+    let _alone = ALONE.lock();
+    let stop = CancellationToken::new();
+    let until = Instant::now() + Duration::from_secs(60);
+    let told = stop.clone();
+    let stopping = thread::spawn(move || {
+        while nodes() < 10 && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+        told.cancel();
+        nodes()
+    });
+    let ended = measure(&beside_real_nodes(60_000), 7, Path::new(STONEFOLD), &stop);
+    assert!(matches!(ended, Err(HollowError::Stopped)), "{:?}", ended.map(|figures| figures.figures));
+    assert_eq!(stopping.join().unwrap(), 10, "all had started");
+    while nodes() > 0 {
+        assert!(Instant::now() < until, "{} nodes are left", nodes());
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -6,6 +6,7 @@
 use stonefold_config::{Check, Count, Millis, Wrong};
 use stonefold_model::site::DiscoveryKind;
 
+use crate::hollow::fleet::Plant;
 use crate::hollow::play::Play;
 use crate::machine;
 
@@ -112,6 +113,9 @@
     /// What befalls them.
     #[serde(default)]
     pub play: Play,
+    /// Something wrong that discovery does to one node half way: a trial of what finds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub plant: Option<Plant>,
     /// Whether the list must be subscribed to, and discovery bears that it is asked.
     #[serde(default = "subscribed")]
     pub subscribe: bool,
--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use stonefold_balancer::MemberState;
 use stonefold_config as tree;
@@ -50,7 +51,8 @@
 }
 
 /// Something wrong that discovery does to one node, once: for tests of what finds it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Plant {
     /// It leaves a change out.
     Skip,
--- a/crates/lab/src/hollow/play.rs
+++ b/crates/lab/src/hollow/play.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stonefold_config::Count;
 use stonefold_model::{Listed, Random, State};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::fleet::{Fleet, FleetError, ZONES};
@@ -37,6 +38,7 @@
     let mut dealt = Deal::new(fleet);
     for (after, step) in steps {
         sleep_until(start + after).await;
+        yield_now().await; // where many are due at once
         match step {
             Step::Change => dealt.change(fleet),
             Step::Restart(node) => fleet.start_node(node)?,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -121,9 +121,10 @@
         RunError::Interrupted => End::Interrupted(error.into()),
         error => End::Failed(error.into()),
     })?;
-    let picture = plot::svg(&report).map_err(Failure::from)?;
-    let [json, svg] = report.write(out, &picture).map_err(Failure::from)?;
-    println!("{}{}\n{}", report.text(), json.display(), svg.display());
+    let picture = report.is_slope().then(|| plot::svg(&report)).transpose().map_err(Failure::from)?;
+    let written = report.write(out, picture.as_deref()).map_err(Failure::from)?;
+    print!("{}", report.text());
+    written.iter().for_each(|path| println!("{}", path.display()));
     ended(&report)
 }
 
--- a/crates/lab/src/measure/hollow.rs
+++ b/crates/lab/src/measure/hollow.rs
@@ -6,6 +6,7 @@
 use hdrhistogram::Histogram;
 use stonefold_emulator::discovery::Counts;
 use tokio::runtime::{Builder, Runtime};
+use tokio::task::yield_now;
 use tokio_util::sync::CancellationToken;
 
 use crate::experiment::Hollow;
@@ -110,6 +111,8 @@
     let began = Instant::now();
     for node in 0..fleet.plan().nodes {
         fleet.start_node(node)?;
+        // Guards against: being told to stop, and not hearing it until all have started.
+        yield_now().await;
     }
     let started = fleet.settled(of.catch_up.duration()).await;
     figures.put("start_all_s", began.elapsed().as_secs_f64());
@@ -120,7 +123,7 @@
     let before = Meter::read(fleet, &mut real);
     let lasts = of.lasts.duration();
     let changes = of.changes_per_min.get() as f64 * lasts.as_secs_f64() / 60.0;
-    play(fleet, of.play, changes.round() as usize, lasts).await?;
+    befall(of, fleet, changes.round() as usize, lasts).await?;
     let after = Meter::read(fleet, &mut real);
     let ended = Instant::now();
     if !fleet.settled(of.catch_up.duration()).await {
@@ -138,6 +141,15 @@
     Ok(figures)
 }
 
+/// Plays what is stated; where something wrong is planted, once all nodes have come through the first half.
+async fn befall(of: &Hollow, fleet: &mut Fleet, changes: usize, lasts: Duration) -> Result<(), FleetError> {
+    let Some(plant) = of.plant else { return play(fleet, of.play, changes, lasts).await };
+    play(fleet, of.play, changes / 2, lasts / 2).await?;
+    fleet.settled(of.catch_up.duration()).await;
+    fleet.plant(plant);
+    play(fleet, of.play, changes / 2, lasts / 2).await
+}
+
 /// Nodes as processes, each of which has called discovery.
 async fn start_real(fleet: &Fleet, program: &Path) -> Result<Option<Real>, HollowError> {
     let (first, others) = (fleet.plan().nodes, fleet.plan().others);
@@ -146,7 +158,7 @@
     }
     let real = Real::start(program, (first..first + others).map(|node| fleet.config(node)))?;
     let silent =
-        || (first..first + others).filter(|&node| fleet.service().counts(node).answered == 0).count();
+        || (first..first + others).filter(|&node| fleet.service().counts(node).connections == 0).count();
     let until = Instant::now() + REAL_START;
     while silent() > 0 {
         if Instant::now() > until {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -104,16 +104,26 @@
         text
     }
 
-    /// Writes the results and their plot beside each other, each whole or not at all; tells where.
+    /// Whether there is more than one size, over which something can grow.
+    pub fn is_slope(&self) -> bool {
+        self.samples.iter().any(|sample| sample.size != self.samples[0].size)
+    }
+
+    /// Writes the results, and their plot beside them, each whole or not at all; tells where.
     ///
     /// # Errors
     /// If one can't be written.
-    pub fn write(&self, folder: &Path, plot: &str) -> io::Result<[PathBuf; 2]> {
+    pub fn write(&self, folder: &Path, plot: Option<&str>) -> io::Result<Vec<PathBuf>> {
         fs::create_dir_all(folder)?;
-        let [json, svg] = ["json", "svg"].map(|kind| folder.join(format!("{}.{kind}", self.experiment.name)));
-        whole(&json, &(serde_json::to_string_pretty(self)? + "\n"))?;
-        whole(&svg, plot)?;
-        Ok([json, svg])
+        let json = serde_json::to_string_pretty(self)? + "\n";
+        let mut written = Vec::new();
+        for (kind, text) in [("json", Some(json.as_str())), ("svg", plot)] {
+            let Some(text) = text else { continue };
+            let path = folder.join(format!("{}.{kind}", self.experiment.name));
+            whole(&path, text)?;
+            written.push(path);
+        }
+        Ok(written)
     }
 }
 
--- a/crates/lab/tests/program.rs
+++ b/crates/lab/tests/program.rs
@@ -158,3 +158,36 @@
     }
     assert_eq!(left(folder.path()), 0);
 }
+
+const SCENARIO: &str = r#"
+name = "short"
+against = "hollow nodes"
+sizes = [8]
+repeats = 1
+time_limit = "1m"
+
+[measure.scenario]
+vary = "nodes"
+nodes = 8
+servers = 30
+changes_per_min = 300
+lasts = "4s"
+"#;
+
+#[test]
+fn a_change_that_was_skipped_or_applied_backwards_at_any_node_is_a_failure() {
+    for (plant, code, words) in
+        [("", 0, ""), ("plant = \"skip\"", 1, "has server"), ("plant = \"step-back\"", 1, "to 1 of")]
+    {
+        let folder = TempDir::new().unwrap();
+        let output = run(folder.path(), &format!("{SCENARIO}{plant}\n"), &[]);
+        let said = said(&output);
+        assert_eq!(output.status.code(), Some(code), "{plant}: {said}");
+        assert!(said.contains(words) && said.contains("broken") == (code == 1), "{plant}: {said}");
+        // What was measured is kept, with what was found.
+        let text = fs::read_to_string(folder.path().join("out/short.json")).unwrap();
+        let report: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(report["broken"].as_array().unwrap().is_empty(), code == 0);
+        assert!(!folder.path().join("out/short.svg").exists(), "nothing grows at one size");
+    }
+}
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -17,7 +17,7 @@
 use crate::orders::{Kept, Orders, Store};
 use crate::{CONTROLS, discovery};
 
-/// What a node goes by, right after it took over a list.
+/// What a node goes by: at its start, and right after it took over a list.
 pub struct Acted<'a> {
     /// The version of the list.
     pub version: u64,
@@ -36,7 +36,7 @@
     }
 }
 
-/// Runs a node's control until it is dropped, and tells of each list that it took over.
+/// Runs a node's control until it is dropped; tells what it goes by at its start, and after each list.
 pub async fn run(mut config: Config, mut acted: impl FnMut(Acted<'_>)) {
     let (sender, inbox) = mpsc::unbounded_channel();
     // What the watch tells passes through here, so that it is known when it is in force.
@@ -50,6 +50,7 @@
     let store = Arc::new(Kept::File(Store::of_node()));
     store.changed();
     config.file = Default::default();
+    let version = config.known.version;
     let wiring = Wiring {
         budget: config.relay_budget(),
         metrics: Arc::new(Metrics::new(Dropped::default())),
@@ -63,6 +64,7 @@
     let mut driver = Driver::new(config, limit, wiring, store.load().unwrap_or_else(|_| Orders::new()));
     let _following = AbortOnDropHandle::new(tokio::spawn(follow_kept(store, control, sender.clone())));
     let _watching = AbortOnDropHandle::new(tokio::spawn(watching.run(address)));
+    acted(Acted { version, driver: &driver });
     loop {
         tokio::select! {
             biased;
