Count a change from when discovery had it and could be reached

Cause: with discovery away for 13 s the time until a change is everywhere was told as 12.6 s, nearly all of which nobody could have heard of it; what it took from the return on was not told.

Change: what discovery knows while it answers nobody counts from its return.

Result: `a_change_counts_from_when_discovery_had_it_and_could_be_reached`; the laboratory's fleet and truth tests pass.

--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -266,6 +266,14 @@
         self.clock
     }
 
+    /// Discovery answers nobody for so long.
+    pub fn away(&self, lasts: Duration) {
+        let now = self.clock.now();
+        let until = now + lasts.as_micros() as Micros;
+        locked(&self.hollows.truth).away(now..until);
+        self.service.away(until);
+    }
+
     /// Discovery.
     pub fn service(&self) -> &Service {
         &self.service
--- a/crates/lab/tests/truth.rs
+++ b/crates/lab/tests/truth.rs
@@ -78,3 +78,15 @@
     assert_eq!(truth.acted(0, 103, 2, (3, 3), but(&drains)), [3]);
     assert_eq!((truth.found().backwards, truth.behind().count()), (0, 0));
 }
+
+#[test]
+fn a_change_counts_from_when_discovery_had_it_and_could_be_reached() {
+    let mut truth = truth(1);
+    truth.acted(0, 10, 1, (3, 3), but(&[]));
+    truth.away(100..200);
+    truth.learned(90, &[listed(0, State::Draining)]);
+    truth.learned(150, &[listed(1, State::Draining)]);
+    truth.learned(210, &[listed(2, State::Draining)]);
+    let drains = [0, 1, 2].map(|server| (server, Some((State::Draining, 0))));
+    assert_eq!(truth.acted(0, 230, 4, (3, 3), but(&drains)), [140, 30, 20]);
+}
