--- a/crates/store/src/wire/tcp.rs
+++ b/crates/store/src/wire/tcp.rs
@@ -207,7 +207,12 @@
 }
 
 /// Answers others until it is told to stop. `tcp` has the keys.
-pub async fn serve(listener: TcpListener, replica: Replica<Tcp>, tcp: Tcp, stop: CancellationToken) {
+pub async fn serve<T: Transport>(
+    listener: TcpListener,
+    replica: Replica<T>,
+    tcp: Tcp,
+    stop: CancellationToken,
+) {
     let (gate, start) = (Arc::<Mutex<Gate>>::default(), Instant::now());
     let now = move || start.elapsed().as_millis() as u64;
     loop {
@@ -260,7 +265,7 @@
 }
 
 /// Answers one connection; an error is a caller who should not be here.
-async fn attend(stream: TcpStream, replica: &Replica<Tcp>, tcp: &Tcp) -> Result<(), WireError> {
+async fn attend<T: Transport>(stream: TcpStream, replica: &Replica<T>, tcp: &Tcp) -> Result<(), WireError> {
     let keys = tcp.keys();
     let link = timeout(HANDSHAKE, Link::accept(stream, &keys)).await.unwrap_or(Err(WireError::Late));
     let mut link = match link {
