--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -303,6 +303,21 @@
         #[arg(long, value_name = "CLUSTER")]
         join: Option<String>,
     },
+    /// Write the key with which nodes follow the store, and can do nothing else.
+    SubscriberKey {
+        /// The file of the key that all members share.
+        #[arg(long, value_name = "FILE")]
+        key_file: PathBuf,
+        /// The file to be made.
+        out: PathBuf,
+    },
+    /// Tell all who follow the store that a key's value is not to be served any more.
+    Purge {
+        /// The key.
+        key: String,
+        #[command(flatten)]
+        reach: ReachArgs,
+    },
     /// How each member stands.
     Status(ReachArgs),
     /// The members.
--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -3,15 +3,16 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use stonefold_config::{Config as Tree, Layers, LogFormat, Store, load};
+use stonefold_config::{Config as Tree, Layers, LogFormat, Role, Store, load};
 use stonefold_node::config::{Config, Document, DocumentError, Source};
 use stonefold_node::shared::Shared;
 use stonefold_observe::{Format, Logging, Options};
-use stonefold_store::daemon::{self, Settings};
+use stonefold_store::{daemon, follower};
 
 use crate::args::NodeArgs;
 use crate::failure::Failure;
-use crate::shared::{CONFIG, Stored};
+use crate::followed::Followed;
+use crate::shared::{CONFIG, Committed, Stored};
 
 /// Our own file, with the layers over it.
 struct File {
@@ -20,7 +21,7 @@
     /// Where the file states no seed: the same for the life of the process.
     seed: u64,
     /// What it keeps together with other nodes, if its file names that.
-    stored: Option<Arc<Stored>>,
+    stored: Option<Arc<dyn Committed>>,
 }
 
 impl Document for File {
@@ -62,14 +63,25 @@
     Logging::to_stderr(options).map_err(Failure::failed)
 }
 
-/// Starts the store that a file names.
-fn keep(store: Store) -> Result<Arc<Stored>, Failure> {
-    let Store { dir, listen, key_file, wait } = store;
-    let bound = Duration::from_millis(wait.ms());
-    let daemon = daemon::start(Settings { dir, listen, key_file, bound }).map_err(Failure::unusable)?;
-    // What is committed is known before any of it is read.
-    daemon.wait();
-    Ok(Stored::new(daemon))
+/// Starts the store that a file names, or follows it.
+fn keep(store: Store) -> Result<Arc<dyn Committed>, Failure> {
+    let bound = Duration::from_millis(store.wait.ms());
+    let cluster = store.cluster();
+    let Store { role, dir, listen, key_file, publishers, .. } = store;
+    // What is committed is known before any of it is read. What a role needs is there: the file is checked.
+    match (role, listen, cluster) {
+        (Role::Subscriber, listen, Some(cluster)) => {
+            let settings = follower::Settings { dir, listen, key_file, cluster, publishers, bound };
+            Ok(Followed::start(settings).map_err(Failure::unusable)?)
+        }
+        (Role::Member, Some(listen), _) => {
+            let settings = daemon::Settings { dir, listen, key_file, bound };
+            let daemon = daemon::start(settings).map_err(Failure::unusable)?;
+            daemon.wait();
+            Ok(Stored::new(daemon))
+        }
+        _ => Err(Failure::unusable("store: not what its role needs")),
+    }
 }
 
 fn serve(config: Config, log: &Logging) -> Result<(), Failure> {
--- a/crates/cli/src/commands/store.rs
+++ b/crates/cli/src/commands/store.rs
@@ -28,6 +28,10 @@
             init(&dir, member, listen, &key_file, join)
         }
         StoreCommand::Verify { dir } => verify(&dir),
+        StoreCommand::SubscriberKey { key_file, out } => {
+            let keys = Keys::read(&key_file).map_err(Failure::unusable)?;
+            keys.make_subscribers(&out).map_err(Failure::failed)
+        }
         command => blocking(remote(command)),
     }
 }
@@ -84,7 +88,14 @@
 
 async fn remote(command: StoreCommand) -> Result<(), Failure> {
     match command {
-        StoreCommand::Init { .. } | StoreCommand::Verify { .. } => Ok(()), // done without a member
+        // Done without a member.
+        StoreCommand::Init { .. } | StoreCommand::Verify { .. } | StoreCommand::SubscriberKey { .. } => {
+            Ok(())
+        }
+        StoreCommand::Purge { key, reach } => {
+            let index = made(&mut client(&reach)?, Change::Purge { key }).await?;
+            told(&reach, index)
+        }
         StoreCommand::Status(reach) => status(&reach).await,
         StoreCommand::Members(reach) => members(&reach).await,
         StoreCommand::Add { member, address, reach } => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod commands;
 mod failure;
+mod followed;
 mod shared;
 
 use std::process::ExitCode;
--- a/crates/cli/src/shared.rs
+++ b/crates/cli/src/shared.rs
@@ -24,6 +24,12 @@
 /// Nodes that learn a list together propose it at different times within this.
 const SPREAD: Duration = Duration::from_millis(100);
 
+/// What a node shares, and its own file reads.
+pub trait Committed: Shared {
+    /// The shared part of the configuration as it is committed, and its revision.
+    fn config(&self) -> Option<(u64, String)>;
+}
+
 /// A list that the others are to be told.
 struct Learned {
     version: u64,
@@ -47,13 +53,6 @@
         Arc::new_cyclic(|me| Stored { daemon, seen, learned, me: me.clone() })
     }
 
-    /// The shared part of the configuration as it is committed, and its revision.
-    pub fn config(&self) -> Option<(u64, String)> {
-        let applied = self.daemon.replica.shared().read();
-        let latest = applied.state.document(CONFIG)?;
-        Some((latest.revision, latest.text.clone()))
-    }
-
     async fn propose(&self, change: Change, until: Instant) -> Result<Reply, String> {
         // Each proposal is a client's only one: none can be overtaken by another.
         let proposal = Proposal { client: fastrand::u64(..), sequence: 1, change };
@@ -102,6 +101,14 @@
     }
 }
 
+impl Committed for Stored {
+    fn config(&self) -> Option<(u64, String)> {
+        let applied = self.daemon.replica.shared().read();
+        let latest = applied.state.document(CONFIG)?;
+        Some((latest.revision, latest.text.clone()))
+    }
+}
+
 impl Shared for Stored {
     fn ready(&self) -> Later<'_, ()> {
         let mut ready = self.daemon.ready.clone();
@@ -145,13 +152,7 @@
         let (acted, _) = self.daemon.replica.freshness(|freshness, _| freshness.acted());
         let applied = self.daemon.replica.shared().read();
         let list = applied.state.list().filter(|list| list.version > acted)?;
-        match serde_json::from_str(&list.text) {
-            Ok(list) => Some(list),
-            Err(error) => {
-                warn!(event = "list_unreadable", version = list.version, %error, "the kept list is not acted on");
-                None
-            }
-        }
+        readable(list.version, &list.text)
     }
 
     fn may_act(&self, version: u64) -> Result<(), u64> {
@@ -189,3 +190,14 @@
         self.daemon.replica.freshness(|freshness, _| freshness.config(revision));
     }
 }
+
+/// A kept list, if it is one.
+pub fn readable(version: u64, text: &str) -> Option<List> {
+    match serde_json::from_str(text) {
+        Ok(list) => Some(list),
+        Err(error) => {
+            warn!(event = "list_unreadable", version, %error, "the kept list is not acted on");
+            None
+        }
+    }
+}
--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -67,6 +67,8 @@
     child: Child,
     clients: SocketAddr,
     operators: SocketAddr,
+    /// Where it serves those who follow, if it is a relay.
+    relay: Option<SocketAddr>,
 }
 
 impl Drop for Member {
@@ -150,7 +152,7 @@
         command.env_clear().args(["node", "--config", &file]).stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let (mut clients, mut operators) = (None, None);
+        let (mut clients, mut operators, mut relay) = (None, None, None);
         let mut all = String::new();
         while clients.is_none() || operators.is_none() {
             let mut line = String::new();
@@ -161,9 +163,10 @@
             };
             clients = told("listening").or(clients);
             operators = told("operator_listening").or(operators);
+            relay = told("relay_listening").or(relay);
             all += &line;
         }
-        Member { child, clients: clients.unwrap(), operators: operators.unwrap() }
+        Member { child, clients: clients.unwrap(), operators: operators.unwrap(), relay }
     }
 }
 
@@ -366,6 +369,58 @@
     );
 }
 
+#[test]
+fn nodes_that_only_follow_act_on_what_is_committed_through_a_relay_and_change_nothing() {
+    let site = Site::new(1);
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let member = site.start(0, discovery.addr, "10s");
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    answering(discovery, known);
+    let (key, shared_key) = (site.path("subscribers"), site.key.to_str().unwrap().to_owned());
+    done(&["store", "subscriber-key", "--key-file", &shared_key, &key]);
+    let follows = |n: usize, publishers: SocketAddr, listen: &str, wait: &str| {
+        let (dir, cluster) = (site.path(&format!("f{n}")), &site.cluster);
+        let store = format!(
+            "[store]\nrole = \"subscriber\"\ndir = \"{dir}\"\ncluster = \"{cluster}\"\nkey_file = \"{key}\"\n\
+             publishers = [[\"{publishers}\"]]\nwait = \"{wait}\"\n{listen}"
+        );
+        site.start_file(&format!("follows{n}.toml"), &format!("{}\n{store}", own(free())))
+    };
+    let relay = follows(1, site.stores[0], "listen = \"127.0.0.1:0\"\n", "10s");
+    let relay_at = relay.relay.unwrap();
+    let mut node = follows(2, relay_at, "", "10s");
+    // Neither has a discovery that answers.
+    for follower in [&relay, &node] {
+        follower.until("svc_hosts_listed", "1");
+    }
+    member.order("DISABLE");
+    node.until("svc_hosts_down", "1");
+    let answer = node.call(&format!("ENABLE {CACHE}"));
+    assert!(answer.starts_with("fail") && answer.contains("follows the store"), "{answer}");
+    let class = |name: &str| {
+        format!("[[class]]\nname = \"{name}\"\naim = \"1s\"\ndeadline = \"2s\"\neffect = \"safe\"\n")
+    };
+    let file = site.path("shared.toml");
+    std::fs::write(&file, class("audio") + &class("read")).unwrap();
+    site.store(0, &["config", "push", &file]);
+    let end = Instant::now() + PATIENCE;
+    while node.read("c=audio,d=50").contains("class") {
+        assert!(Instant::now() < end, "the configuration is not in force");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(site.store(0, &["store", "purge", "k"]).starts_with("revision "));
+    // Killed with its relay, and nobody else to be reached: it goes on from its disk.
+    drop((relay, node));
+    node = follows(2, relay_at, "", "200ms");
+    node.until("svc_hosts_listed", "1");
+    node.until("svc_hosts_down", "1");
+    assert!(!node.read("c=audio,d=50").contains("class"));
+    // Its key is no client's.
+    let member_at = site.stores[0].to_string();
+    let (code, told) = failed(&["store", "status", "--at", &member_at, "--key-file", &key]);
+    assert!(code == 1 && told.contains("a subscriber's key"), "{told}");
+}
+
 const EMULATED: &str = r#"
 name = "three"
 nodes = 3
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::tree::Config;
+use crate::tree::{Config, Role, Store};
 
 /// A key's path, and what is wrong there.
 pub type Wrong = (String, String);
@@ -39,6 +39,49 @@
     Ok(())
 }
 
+/// Publishers of one tier, and all of them.
+const PUBLISHERS: usize = 64;
+
+/// What a member and a subscriber are told, each what is its own.
+fn store(store: &Store) -> Result<(), Wrong> {
+    if let Some(listen) = store.listen.filter(|listen| !listen.ip().is_loopback()) {
+        return wrong(
+            "store.listen",
+            format!("{listen} is no loopback address: the store listens on those alone"),
+        );
+    }
+    let publishers = store.publishers.iter().flatten();
+    match store.role {
+        Role::Member if store.listen.is_none() => {
+            wrong("store.listen", "needed by a member: where others reach it, such as \"127.0.0.1:7101\"")
+        }
+        Role::Member if store.cluster.is_some() => {
+            wrong("store.cluster", "a member's is in its folder: only a subscriber is told it")
+        }
+        Role::Member if !store.publishers.is_empty() => {
+            wrong("store.publishers", "only a subscriber has publishers: members find each other")
+        }
+        Role::Member => Ok(()),
+        Role::Subscriber if store.cluster().is_none() => wrong(
+            "store.cluster",
+            "needed by a subscriber: 32 hex digits, as `stonefold store init` printed them",
+        ),
+        Role::Subscriber if publishers.clone().next().is_none() => wrong(
+            "store.publishers",
+            "needed by a subscriber: addresses by tier, the nearest first, such as [[\"127.0.0.1:7101\"]]",
+        ),
+        Role::Subscriber if publishers.clone().count() > PUBLISHERS => {
+            wrong("store.publishers", format!("at most {PUBLISHERS} are taken"))
+        }
+        Role::Subscriber => match publishers.clone().find(|&publisher| Some(*publisher) == store.listen) {
+            Some(publisher) => {
+                wrong("store.publishers", format!("{publisher} is where this very node listens"))
+            }
+            None => Ok(()),
+        },
+    }
+}
+
 impl Check for Config {
     fn check(&self) -> Result<(), Wrong> {
         if self.node.listen.is_none() {
@@ -56,6 +99,9 @@
         if let Err(error) = self.log.level.parse::<stonefold_observe::Levels>() {
             return wrong("log.level", error.to_string());
         }
+        if let Some(of) = &self.store {
+            store(of)?;
+        }
         if self.classes.is_empty() {
             return wrong("class", "needed: at least one [[class]] with name, aim, deadline and effect");
         }
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -121,17 +121,46 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Store {
-    /// The folder it is kept in, as `stonefold store init` made it.
+    /// Whether this node is a member, or follows what members keep.
+    #[serde(default)]
+    pub role: Role,
+    /// The folder it is kept in: a member's as `stonefold store init` made it, a subscriber's is made if it is absent.
     pub dir: PathBuf,
-    /// Where other members reach it: a loopback address.
-    pub listen: SocketAddr,
-    /// The file of the key that all members share.
+    /// Where others reach it, a loopback address: a member's needed; a subscriber's makes it a relay.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    /// The file of the key: a member's that all members share, a subscriber's as `stonefold store subscriber-key` made it.
     pub key_file: PathBuf,
+    /// The cluster that a subscriber follows, as `stonefold store init` printed it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cluster: Option<String>,
+    /// Whom a subscriber follows, by tier, the nearest first: relays of its site, relays of its region, members.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub publishers: Vec<Vec<SocketAddr>>,
     /// A starting node waits so long for the others to tell what is committed.
     #[serde(default = "store_wait")]
     pub wait: Millis<0, 60_000>,
 }
 
+/// What a node is to its store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// It votes, and may change what is kept.
+    #[default]
+    Member,
+    /// It follows what is committed.
+    Subscriber,
+}
+
+impl Store {
+    /// The cluster that is followed, if it is one.
+    pub fn cluster(&self) -> Option<u128> {
+        let digits = self.cluster.as_ref().filter(|cluster| cluster.len() == 32)?;
+        u128::from_str_radix(digits, 16).ok()
+    }
+}
+
 fn store_wait() -> Millis<0, 60_000> {
     Millis::new(2 * SECOND)
 }
--- a/crates/config/tests/refusals.rs
+++ b/crates/config/tests/refusals.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
-use stonefold_config::{Config, Layers, Loaded, Origin, load, schema};
+use stonefold_config::{Config, Layers, Loaded, Origin, Role, load, schema};
 
 const GOOD: &str = r#"
 [node]
@@ -79,6 +79,51 @@
     }
 }
 
+#[test]
+fn a_store_is_told_what_its_role_needs_and_nothing_else() {
+    let store = |rest: &str| format!("{GOOD}\n[store]\ndir = \"d\"\nkey_file = \"k\"\n{rest}");
+    let cluster = format!("cluster = \"{}\"\n", "0a".repeat(16));
+    let subscriber = |rest: &str| store(&format!("role = \"subscriber\"\n{rest}"));
+    let publishers = "publishers = [[\"127.0.0.1:2\"], [\"127.0.0.1:3\", \"127.0.0.1:4\"]]\n";
+    for (text, key, why) in [
+        (store(""), "store.listen", "needed by a member"),
+        (store("listen = \"10.0.0.1:1\""), "store.listen", "no loopback address"),
+        (store(&format!("listen = \"127.0.0.1:1\"\n{cluster}")), "store.cluster", "only a subscriber"),
+        (store(&format!("listen = \"127.0.0.1:1\"\n{publishers}")), "store.publishers", "only a subscriber"),
+        (store("role = \"leader\""), "store.role", "expected `member` or `subscriber`"),
+        (subscriber(publishers), "store.cluster", "needed by a subscriber"),
+        (subscriber(&format!("cluster = \"12\"\n{publishers}")), "store.cluster", "32 hex digits"),
+        (subscriber(&cluster), "store.publishers", "needed by a subscriber"),
+        (subscriber(&format!("{cluster}publishers = [[]]")), "store.publishers", "the nearest first"),
+        (
+            subscriber(&format!("{cluster}{publishers}listen = \"127.0.0.1:3\"")),
+            "store.publishers",
+            "this very node",
+        ),
+        (
+            subscriber(&format!("{cluster}publishers = [[\"x\"]]")),
+            "store.publishers",
+            "invalid socket address",
+        ),
+    ] {
+        let told = refused(&text);
+        assert!(told.contains(key) && told.contains(why), "{told}\n  should tell {key:?} and {why:?}");
+    }
+    // As it was before there were roles, and as a subscriber and a relay are told.
+    for (text, role, listens) in [
+        (store("listen = \"127.0.0.1:1\""), Role::Member, true),
+        (subscriber(&format!("{cluster}{publishers}")), Role::Subscriber, false),
+        (subscriber(&format!("{cluster}{publishers}listen = \"127.0.0.1:1\"")), Role::Subscriber, true),
+    ] {
+        let (_dir, layers) = layers(&text);
+        let tree = load::<Config>(&layers).unwrap_or_else(|error| panic!("{error}: {text}")).tree;
+        let platform = tree.to_platform(1).to_string();
+        let store = tree.store.unwrap();
+        assert_eq!((store.role, store.listen.is_some()), (role, listens));
+        assert!(!platform.contains("subscriber") && !platform.contains("publishers"), "{platform}");
+    }
+}
+
 #[test]
 fn a_file_cut_anywhere_is_refused_or_whole_and_never_panics() {
     for end in 0..GOOD.len() {
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -8,7 +8,7 @@
 pub const VERSION: u8 = 1;
 
 /// Why bytes can't be read. Nothing is guessed from them.
-#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
 pub enum CodecError {
     /// Nothing at all.
     #[error("no bytes where {0} should be")]
--- a/crates/store/src/machine.rs
+++ b/crates/store/src/machine.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::changes::{Changes, Note};
 use crate::codec::{self, CodecError};
 use crate::disk::{Disk, DiskError};
 use crate::engine::{Entry, LogId, Membership, SnapshotMeta, StorageError, Types};
@@ -25,6 +26,23 @@
     pub members: Membership,
     /// What is kept.
     pub state: State,
+    /// When it changed, for those who follow.
+    pub changes: Changes,
+}
+
+/// As it was kept before anybody followed.
+#[derive(Deserialize)]
+struct Unfollowed {
+    last: Option<LogId>,
+    members: Membership,
+    state: State,
+}
+
+impl From<Unfollowed> for Applied {
+    fn from(Unfollowed { last, members, state }: Unfollowed) -> Applied {
+        let changes = Changes::at(last.map_or(0, |last| last.index), &state);
+        Applied { last, members, state, changes }
+    }
 }
 
 /// The state that requests read, shared with the machine that changes it.
@@ -78,14 +96,19 @@
 
 /// The state of a disk's latest snapshot.
 pub(crate) fn kept(disk: &Disk) -> Result<Option<Applied>, DiskError> {
-    Ok(disk.snapshot()?.map(|(_, sealed)| codec::unseal(WHAT, &sealed)).transpose()?)
+    Ok(disk.snapshot()?.map(|(_, sealed)| open_snapshot(&sealed)).transpose()?)
 }
 
 fn apply(applied: &mut Applied, entry: Entry) -> Reply {
     applied.last = Some(entry.log_id);
     match entry.payload {
         EntryPayload::Blank => Reply::Nothing,
-        EntryPayload::Normal(proposal) => applied.state.apply(entry.log_id.index, proposal),
+        EntryPayload::Normal(proposal) => {
+            let (index, note) = (entry.log_id.index, Note::of(&proposal.change));
+            let reply = applied.state.apply(index, proposal);
+            applied.changes.made(note, index, &reply, &applied.state);
+            reply
+        }
         EntryPayload::Membership(members) => {
             let before: Vec<_> = applied.members.nodes().map(|(&id, _)| id).collect();
             applied.state.remove(before.into_iter().filter(|id| members.get_node(id).is_none()));
@@ -141,7 +164,7 @@
     ) -> Result<(), StorageError> {
         let sealed = snapshot.into_inner();
         // Whole and unchanged, or nothing of it.
-        let kept: Applied = codec::unseal(WHAT, &sealed).map_err(|error| failed(&error))?;
+        let kept = open_snapshot(&sealed).map_err(|error| failed(&error))?;
         self.disk.put_snapshot(meta, &sealed).map_err(|error| failed(&error))?;
         self.shared.change(|applied| *applied = kept);
         self.tell();
@@ -176,5 +199,7 @@
 /// # Errors
 /// If it is damaged, cut short, or of another version.
 pub fn open_snapshot(sealed: &[u8]) -> Result<Applied, CodecError> {
+    // One that was written before anybody followed ends where the changes would begin.
     codec::unseal(WHAT, sealed)
+        .or_else(|error| codec::unseal::<Unfollowed>(WHAT, sealed).map(Applied::from).map_err(|_| error))
 }
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -58,6 +58,9 @@
         /// Whose it is.
         member: MemberId,
     },
+    /// It asks a relay what only a member answers.
+    #[error("this is a relay: it serves subscribers, and nobody else; ask a member")]
+    Relay,
     /// The last one.
     #[error("{0} is the last member that votes")]
     Last(MemberId),
--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -17,6 +17,8 @@
     Member(MemberId),
     /// Whoever has the key.
     Client,
+    /// A node that follows what is committed, and may do nothing else.
+    Subscriber,
 }
 
 /// A question.
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -245,9 +245,12 @@
     /// Answers one question of somebody who was heard.
     pub async fn answer(&self, party: Party, request: Request) -> Response {
         let among_members = matches!(request, Request::Append(_) | Request::Vote(_) | Request::Snapshot(_));
-        if among_members && party == Party::Client {
+        if among_members && !matches!(party, Party::Member(_)) {
             return Response::Changed(Err(Unavailable::Refused("only members say that".into())));
         }
+        if party == Party::Subscriber {
+            return Response::Changed(Err(Unavailable::Refused("a subscriber follows, and no more".into())));
+        }
         match request {
             Request::Append(request) => Response::Append(self.raft.append_entries(request).await),
             Request::Vote(request) => Response::Vote(self.raft.vote(request).await),
--- a/crates/store/src/state.rs
+++ b/crates/store/src/state.rs
@@ -20,6 +20,10 @@
 const REMEMBERED: u64 = 600_000;
 /// The longest id of a server, in bytes.
 pub const ID: usize = 128;
+/// The longest key that is purged, in bytes.
+pub const KEY: usize = 512;
+/// Purges whose keys are kept, for whoever follows: at 12 a second, those of the last 5 minutes and more.
+pub const PURGES: usize = 4_096;
 /// Clients whose last proposal is remembered.
 pub const CLIENTS: usize = 1_000;
 /// The longest name or author, in bytes.
@@ -76,6 +80,11 @@
         /// What it kept.
         state: Box<State>,
     },
+    /// A key whose value is not to be served any more. The store keeps it for those who follow, and does no more with it.
+    Purge {
+        /// The key.
+        key: String,
+    },
 }
 
 /// What an operator ordered for a server.
@@ -87,6 +96,13 @@
     pub since_ms: u64,
 }
 
+impl Order {
+    /// Whether it put a server back so long before a time, in ms of Unix time, that it says nothing any more.
+    pub(crate) fn forgotten(&self, at_ms: u64) -> bool {
+        !self.out && at_ms.saturating_sub(self.since_ms) >= REMEMBERED
+    }
+}
+
 /// What came of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -267,14 +283,14 @@
             Change::Order { server, order } => {
                 short("a server's id", server.len(), ID)?;
                 // By the time that the order tells, so that all replicas forget the same.
-                let fresh = |old: &Order| old.out || order.since_ms.saturating_sub(old.since_ms) < REMEMBERED;
-                self.orders.retain(|_, old| fresh(old));
+                self.orders.retain(|_, old| !old.forgotten(order.since_ms));
                 let new = usize::from(!self.orders.contains_key(&server));
                 few("orders", self.orders.len() + new, SERVERS)?;
                 self.orders.insert(server, order);
                 Ok(index)
             }
             Change::Restore { state } => self.restore(index, *state),
+            Change::Purge { key } => short("a key", key.len(), KEY).map(|()| index),
         }
     }
 
--- a/crates/store/src/wire/gate.rs
+++ b/crates/store/src/wire/gate.rs
@@ -5,6 +5,8 @@
 
 /// Connections at a time.
 pub const CONNECTIONS: usize = 64;
+/// Subscribers at a time.
+pub const SUBSCRIBERS: usize = 256;
 /// So many failures within the time are borne; then the address is not heard until the time is over.
 const FAILURES: u32 = 10;
 const TIME_MS: u64 = 10_000;
@@ -15,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     open: usize,
+    subscribers: usize,
     /// Failures of an address, and since when they are counted.
     failed: HashMap<IpAddr, (u32, u64)>,
     /// Connections that were not heard.
@@ -41,6 +44,21 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// A connection turns out to be a subscriber's, and is counted with those from now on; false if there are enough.
+    pub fn subscribes(&mut self) -> bool {
+        let room = self.subscribers < SUBSCRIBERS;
+        if room {
+            self.closed();
+            self.subscribers += 1;
+        }
+        room
+    }
+
+    /// A subscriber's connection is closed.
+    pub fn unsubscribed(&mut self) {
+        self.subscribers = self.subscribers.saturating_sub(1);
+    }
+
     /// A caller is refused: how many were, where that is worth a line of the log: for another reason than the last, or
     /// twice as many as told before.
     pub fn refused(&mut self, why: &str) -> Option<u64> {
--- a/crates/store/src/wire/handshake.rs
+++ b/crates/store/src/wire/handshake.rs
@@ -91,6 +91,11 @@
         Ok((Welcoming { key, hello: *hello, nonce }, welcome))
     }
 
+    /// The key that the other side says it has.
+    pub(super) fn used(&self) -> &Key {
+        &self.key
+    }
+
     /// The connection's key, once the other side has proved itself.
     ///
     /// # Errors
--- a/crates/store/src/wire/keys.rs
+++ b/crates/store/src/wire/keys.rs
@@ -90,6 +90,14 @@
     Some(Key(key))
 }
 
+fn write(path: &Path, about: &str, keys: &[Key]) -> Result<(), KeyError> {
+    let io = |error| KeyError::Io(path.to_owned(), error);
+    let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(path).map_err(io)?;
+    writeln!(file, "{about}").map_err(io)?;
+    keys.iter().try_for_each(|key| writeln!(file, "{}", hex::encode(key.0))).map_err(io)?;
+    file.sync_all().map_err(io)
+}
+
 impl Keys {
     /// These keys, the first of which is used.
     pub fn new(first: Key, other: Option<Key>) -> Keys {
@@ -122,13 +130,32 @@
     /// # Errors
     /// If there is one, or it can't be written.
     pub fn make(path: &Path) -> Result<(), KeyError> {
-        let io = |error| KeyError::Io(path.to_owned(), error);
         let mut key = [0; 32];
-        getrandom::fill(&mut key).map_err(|error| io(io::Error::other(error.to_string())))?;
-        let text = hex::encode(key);
-        let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(path).map_err(io)?;
-        writeln!(file, "# The key that all members of a store share.\n{text}").map_err(io)?;
-        file.sync_all().map_err(io)
+        let drawn = getrandom::fill(&mut key);
+        drawn.map_err(|error| KeyError::Io(path.to_owned(), io::Error::other(error.to_string())))?;
+        write(path, "# The key that all members of a store share.", &[Key(key)])
+    }
+
+    /// The keys of subscribers, which follow from these, and from which these don't: with them a node may follow what is
+    /// committed, and do nothing else.
+    pub fn of_subscribers(&self) -> Keys {
+        Keys(self.0.iter().map(|key| key.derive(&[b"stonefold subscriber"])).collect())
+    }
+
+    /// Writes a new file with the keys of subscribers, for its owner alone.
+    ///
+    /// # Errors
+    /// If there is one, or it can't be written.
+    pub fn make_subscribers(&self, path: &Path) -> Result<(), KeyError> {
+        write(path, "# The key of a store's subscribers.", &self.of_subscribers().0)
+    }
+
+    pub(super) fn with_subscribers(&self) -> Keys {
+        Keys(self.0.iter().cloned().chain(self.of_subscribers().0).collect())
+    }
+
+    pub(super) fn has(&self, key: &Key) -> bool {
+        self.0.contains(key)
     }
 
     pub(super) fn first(&self) -> &Key {
--- a/crates/store/src/wire/tcp.rs
+++ b/crates/store/src/wire/tcp.rs
@@ -1,128 +1,34 @@
 //! Messages over TCP: who asks, and who answers.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::IpAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
 
-use super::frames::{FrameError, HEAD, Opener, Sealer};
-use super::gate::Gate;
-use super::handshake::{Asking, HELLO, HandshakeError, PROOF, WELCOME, Welcoming};
+use super::gate::{Gate, SUBSCRIBERS};
 use super::keys::Keys;
-use crate::codec::{self, CodecError};
+use super::link::{HANDSHAKE, Introduction, Link, WireError, locked};
+use super::publish::{Applying, Source, publish};
 use crate::engine::MemberId;
-use crate::members::{Hello, admit};
+use crate::feed::frame::Refusal;
+use crate::feed::publisher::Limits;
+use crate::members::{Hello, MembersError, admit};
 use crate::message::{Party, Request, Response, Unavailable};
 use crate::replica::{Replica, Transport};
 use crate::state::NAME;
 
-/// Both sides have proved themselves within this time, or part.
-const HANDSHAKE: Duration = Duration::from_secs(2);
 /// Connections that are kept to one address between questions.
 const IDLE: usize = 4;
 /// After an accept that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Why a connection is of no further use.
-#[derive(Debug, thiserror::Error)]
-enum WireError {
-    #[error("{0}")]
-    Io(#[from] io::Error),
-    #[error("{0}")]
-    Handshake(#[from] HandshakeError),
-    #[error("{0}")]
-    Frame(#[from] FrameError),
-    #[error("{0}")]
-    Codec(#[from] CodecError),
-    #[error("refused: {0}")]
-    Refused(String),
-    #[error("no proof within {} s", HANDSHAKE.as_secs())]
-    Late,
-}
-
-fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn nonce() -> io::Result<[u8; 32]> {
-    let mut nonce = [0; 32];
-    getrandom::fill(&mut nonce).map_err(|error| io::Error::other(error.to_string()))?;
-    Ok(nonce)
-}
-
-/// A connection whose sides have proved themselves.
-struct Link {
-    stream: TcpStream,
-    sealer: Sealer,
-    opener: Opener,
-}
-
-/// Who is at the other end of a connection; the first message on it.
-#[derive(serde::Serialize, serde::Deserialize)]
-struct Introduction {
-    cluster: u128,
-    party: Party,
-    addr: String,
-}
-
-impl Link {
-    async fn connect(addr: &str, keys: &Keys, me: &Introduction) -> Result<Link, WireError> {
-        let mut stream = TcpStream::connect(addr).await?;
-        stream.set_nodelay(true)?;
-        let (asking, hello) = Asking::new(keys, nonce()?);
-        stream.write_all(&hello).await?;
-        let mut welcome = [0; WELCOME];
-        stream.read_exact(&mut welcome).await?;
-        let (key, proof) = asking.welcomed(&welcome)?;
-        stream.write_all(&proof).await?;
-        let (sealer, opener) = (Sealer::new(key.clone(), true), Opener::new(key, false));
-        let mut link = Link { stream, sealer, opener };
-        link.send("an introduction", me).await?;
-        match link.receive::<Result<(), String>>("an introduction's answer").await? {
-            Ok(()) => Ok(link),
-            Err(why) => Err(WireError::Refused(why)),
-        }
-    }
-
-    async fn accept(mut stream: TcpStream, keys: &Keys) -> Result<Link, WireError> {
-        stream.set_nodelay(true)?;
-        let mut hello = [0; HELLO];
-        stream.read_exact(&mut hello).await?;
-        let (welcoming, welcome) = Welcoming::new(keys, &hello, nonce()?)?;
-        stream.write_all(&welcome).await?;
-        let mut proof = [0; PROOF];
-        stream.read_exact(&mut proof).await?;
-        let key = welcoming.proved(&proof)?;
-        Ok(Link { stream, sealer: Sealer::new(key.clone(), false), opener: Opener::new(key, true) })
-    }
-
-    async fn send<T: serde::Serialize>(&mut self, what: &'static str, value: &T) -> Result<(), WireError> {
-        let frame = self.sealer.seal(&codec::encode(what, value)?)?;
-        Ok(self.stream.write_all(&frame).await?)
-    }
-
-    async fn receive<T: serde::de::DeserializeOwned>(&mut self, what: &'static str) -> Result<T, WireError> {
-        let mut head = [0; HEAD];
-        self.stream.read_exact(&mut head).await?;
-        let length = self.opener.length(head)?;
-        // Grows with what has come, not with what was announced.
-        let mut rest = Vec::new();
-        (&mut self.stream).take(length as u64).read_to_end(&mut rest).await?;
-        if rest.len() < length {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-        }
-        Ok(codec::decode(what, self.opener.open(&rest)?)?)
-    }
-}
-
 /// Asks others over TCP, as a member or as a client.
 #[derive(Clone)]
 pub struct Tcp(Arc<Side>);
@@ -131,6 +37,7 @@
     keys: RwLock<Keys>,
     me: Introduction,
     idle: Mutex<HashMap<String, Vec<Link>>>,
+    refused: AtomicU64,
 }
 
 impl Tcp {
@@ -144,8 +51,18 @@
         Tcp::new(keys, Introduction { cluster, party: Party::Client, addr: String::new() })
     }
 
+    /// Follows as a subscriber, with the subscribers' keys.
+    pub fn subscriber(keys: Keys, cluster: u128) -> Tcp {
+        Tcp::new(keys, Introduction { cluster, party: Party::Subscriber, addr: String::new() })
+    }
+
     fn new(keys: Keys, me: Introduction) -> Tcp {
-        Tcp(Arc::new(Side { keys: RwLock::new(keys), me, idle: Mutex::default() }))
+        Tcp(Arc::new(Side {
+            keys: RwLock::new(keys),
+            me,
+            idle: Mutex::default(),
+            refused: AtomicU64::new(0),
+        }))
     }
 
     /// The keys in force from now on, for both directions.
@@ -153,7 +70,12 @@
         *self.0.keys.write().unwrap_or_else(PoisonError::into_inner) = keys;
     }
 
-    fn keys(&self) -> Keys {
+    /// Callers that were heard and refused, subscribers that were cut among them.
+    pub fn refused(&self) -> u64 {
+        self.0.refused.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn keys(&self) -> Keys {
         self.0.keys.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -206,6 +128,14 @@
     }
 }
 
+/// Whoever answers callers that have proved themselves.
+trait Answering: Clone + Send + Sync + 'static {
+    /// Whether a caller is heard.
+    fn admits(&self, who: &Introduction) -> Result<(), MembersError>;
+    /// Attends to a caller that is, until it goes; an error is one that should not be here.
+    fn attend(&self, link: Link, who: Introduction) -> impl Future<Output = Result<(), WireError>> + Send;
+}
+
 /// Answers others until it is told to stop. `tcp` has the keys.
 pub async fn serve<T: Transport>(
     listener: TcpListener,
@@ -213,6 +143,22 @@
     tcp: Tcp,
     stop: CancellationToken,
 ) {
+    let feed = Applying::new(replica.clone());
+    listen(listener, Member { replica, feed }, tcp, stop).await;
+}
+
+/// Serves other subscribers, as a relay, until it is told to stop. `tcp` has the subscribers' keys.
+pub async fn serve_relay<S: Source>(
+    listener: TcpListener,
+    source: S,
+    tcp: Tcp,
+    limits: Limits,
+    stop: CancellationToken,
+) {
+    listen(listener, Relay { source, limits }, tcp, stop).await;
+}
+
+async fn listen<A: Answering>(listener: TcpListener, answering: A, tcp: Tcp, stop: CancellationToken) {
     let (gate, start) = (Arc::<Mutex<Gate>>::default(), Instant::now());
     let now = move || start.elapsed().as_millis() as u64;
     loop {
@@ -237,15 +183,17 @@
             }
             continue;
         }
-        let (replica, tcp, gate, stop) = (replica.clone(), tcp.clone(), gate.clone(), stop.clone());
+        let (answering, tcp, gate, stop) = (answering.clone(), tcp.clone(), gate.clone(), stop.clone());
         tokio::spawn(async move {
+            let door = Door { gate: gate.clone(), subscriber: AtomicBool::new(false) };
             let attended = tokio::select! {
                 () = stop.cancelled() => Ok(()),
-                attended = attend(stream, &replica, &tcp) => attended,
+                attended = attend(stream, &answering, &tcp, &door) => attended,
             };
+            drop(door);
             let mut gate = locked(&gate);
-            gate.closed();
             if let Err(error) = attended {
+                tcp.0.refused.fetch_add(1, Ordering::Relaxed);
                 // Guards against: members barred for a removed one, which has the key, and comes again and again.
                 if matches!(error, WireError::Handshake(_) | WireError::Late) {
                     gate.failed(from.ip(), now());
@@ -264,8 +212,38 @@
     if gate.admit(from, now_ms) { Ok(()) } else { Err(gate.turned_away) }
 }
 
-/// Answers one connection; an error is a caller who should not be here.
-async fn attend<T: Transport>(stream: TcpStream, replica: &Replica<T>, tcp: &Tcp) -> Result<(), WireError> {
+/// An admitted connection, counted until it is dropped.
+struct Door {
+    gate: Arc<Mutex<Gate>>,
+    subscriber: AtomicBool,
+}
+
+impl Door {
+    /// It is a subscriber's.
+    fn subscribes(&self) -> bool {
+        let room = locked(&self.gate).subscribes();
+        self.subscriber.store(room, Ordering::Relaxed);
+        room
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        let mut gate = locked(&self.gate);
+        match self.subscriber.load(Ordering::Relaxed) {
+            true => gate.unsubscribed(),
+            false => gate.closed(),
+        }
+    }
+}
+
+/// Hears who calls, and has it attended to; an error is a caller who should not be here.
+async fn attend<A: Answering>(
+    stream: TcpStream,
+    answering: &A,
+    tcp: &Tcp,
+    door: &Door,
+) -> Result<(), WireError> {
     let keys = tcp.keys();
     let link = timeout(HANDSHAKE, Link::accept(stream, &keys)).await.unwrap_or(Err(WireError::Late));
     let mut link = match link {
@@ -276,24 +254,77 @@
         Ok(Err(WireError::Io(_))) => return Ok(()),
         who => who.unwrap_or(Err(WireError::Late))?,
     };
-    let identity = replica.identity();
-    let hello = Hello { cluster: who.cluster, party: who.party, addr: &who.addr };
-    let admitted = match who.addr.len() {
-        0..=NAME => admit(&hello, identity.cluster, identity.member, &replica.members()),
-        _ => return Err(WireError::Refused("an address that is too long".into())),
+    if who.addr.len() > NAME {
+        return Err(WireError::Refused("an address that is too long".into()));
+    }
+    let said = match link.subscriber && who.party != Party::Subscriber {
+        true => Err("a subscriber's key is one to follow with, and no more".to_owned()),
+        false => answering.admits(&who).map_err(|error| error.to_string()),
+    };
+    let said = match who.party == Party::Subscriber && said.is_ok() && !door.subscribes() {
+        true => Err(Refusal::Full(SUBSCRIBERS as u64).to_string()),
+        false => said,
     };
-    let said = admitted.map_err(|error| error.to_string());
     link.send("an introduction's answer", &said).await?;
     if let Err(why) = said {
         return Err(WireError::Refused(why));
     }
-    loop {
-        let request: Request = match link.receive("a question").await {
-            Ok(request) => request,
-            Err(WireError::Io(_)) => return Ok(()),
-            Err(error) => return Err(error),
-        };
-        let answer = replica.answer(who.party, request).await;
-        link.send("an answer", &answer).await?;
+    answering.attend(link, who).await
+}
+
+/// A member: it answers questions, and serves subscribers.
+struct Member<T> {
+    replica: Replica<T>,
+    feed: Applying<T>,
+}
+
+impl<T: Transport> Clone for Member<T> {
+    fn clone(&self) -> Member<T> {
+        Member { replica: self.replica.clone(), feed: self.feed.clone() }
+    }
+}
+
+impl<T: Transport> Answering for Member<T> {
+    fn admits(&self, who: &Introduction) -> Result<(), MembersError> {
+        let hello = Hello { cluster: who.cluster, party: who.party, addr: &who.addr };
+        let identity = self.replica.identity();
+        admit(&hello, identity.cluster, identity.member, &self.replica.members())
+    }
+
+    async fn attend(&self, mut link: Link, who: Introduction) -> Result<(), WireError> {
+        if who.party == Party::Subscriber {
+            return publish(link, &self.feed, Limits::default()).await;
+        }
+        loop {
+            let request: Request = match link.receive("a question").await {
+                Ok(request) => request,
+                Err(WireError::Io(_)) => return Ok(()),
+                Err(error) => return Err(error),
+            };
+            let answer = self.replica.answer(who.party, request).await;
+            link.send("an answer", &answer).await?;
+        }
+    }
+}
+
+/// A relay: it serves subscribers, and nobody else.
+#[derive(Clone)]
+struct Relay<S> {
+    source: S,
+    limits: Limits,
+}
+
+impl<S: Source> Answering for Relay<S> {
+    fn admits(&self, who: &Introduction) -> Result<(), MembersError> {
+        let ours = self.source.cluster();
+        match who.cluster == ours {
+            true if who.party == Party::Subscriber => Ok(()),
+            true => Err(MembersError::Relay),
+            false => Err(MembersError::Stranger { theirs: who.cluster, ours }),
+        }
+    }
+
+    async fn attend(&self, link: Link, _: Introduction) -> Result<(), WireError> {
+        publish(link, &self.source, self.limits).await
     }
 }
--- a/crates/store/tests/corpus.rs
+++ b/crates/store/tests/corpus.rs
@@ -8,6 +8,10 @@
 use openraft::entry::FromAppData;
 use stonefold_store::codec::{decode, encode, seal};
 use stonefold_store::engine::Entry;
+use stonefold_store::feed::delta::diff;
+use stonefold_store::feed::frame::{
+    Ack, Beacon, Downlink, Hello, Item, Part, Record, Refusal, Update, Uplink, write,
+};
 use stonefold_store::machine::{Applied, open_snapshot};
 use stonefold_store::message::{Party, Request};
 use stonefold_store::state::{Change, Order, Proposal, State};
@@ -56,10 +60,45 @@
     }
     write("frames", "long".into(), &[0xff; 64]);
     write("frames", "party".into(), &encode("a party", &Party::Member(3)).unwrap());
-    let sealed = seal("a snapshot", &applied()).unwrap();
-    write("snapshots", "v1-0".into(), &sealed);
-    write("snapshots", "cut-0".into(), &sealed[..sealed.len() - 1]);
+    let purge = Entry::from_app_data(proposal(1, Change::Purge { key: "k".into() }));
+    write("entries", "v1-purge".into(), &encode("a log entry", &purge).unwrap());
+    // `v1-0`, and `cut-0` of it, are of before anybody followed: none is written so any more.
+    write("snapshots", "v1-followed".into(), &seal("a snapshot", &applied()).unwrap());
     write("snapshots", "empty".into(), &[]);
+    for (name, bytes) in frames() {
+        write("feed", format!("v1-{name}"), &bytes);
+        write("feed", format!("cut-{name}"), &bytes[..bytes.len() / 2]);
+        write("feed", format!("version-{name}"), &[&[9], &bytes[1..]].concat());
+    }
+}
+
+/// A frame of each kind, as version 1 has them.
+fn frames() -> [(&'static str, Vec<u8>); 5] {
+    let beacon = Beacon { echo: 5, stale_ms: Some(70), complete: true, head: 6, purged: 3 };
+    let list = Item::ListDelta { from: 9, version: 10, delta: diff("[{}]", "[{},{}]") };
+    let document = Item::Document { name: "d".into(), text: "u".into(), author: "a".into(), at_ms: 8 };
+    let record = |revision, item: &Item| Record { revision, item: item.bytes() };
+    let records = vec![record(5, &document), record(6, &list)];
+    let update = Update {
+        beacon,
+        after: 4,
+        through: 6,
+        records,
+        part: None,
+        purges_after: 2,
+        gap: false,
+        purges: vec!["k".into()],
+    };
+    let part = Part { revision: 6, offset: 0, total: 90, bytes: vec![1, 0, 1] };
+    let parted = Update { records: Vec::new(), part: Some(part), ..update.clone() };
+    let downlink = |update| write(&Downlink::Update(Box::new(update))).unwrap();
+    [
+        ("update", downlink(update)),
+        ("part", downlink(parted)),
+        ("refused", write(&Downlink::Refused(Refusal::Future { theirs: 9, ours: 4 })).unwrap()),
+        ("hello", write(&Uplink::Hello(Hello { revision: 3, list: 9, purged: Some(2), now: 1 })).unwrap()),
+        ("ack", write(&Uplink::Ack(Ack { taken: 0, now: 7 })).unwrap()),
+    ]
 }
 
 #[test]
@@ -69,18 +108,28 @@
         ("frames", hostile::frames as fn(&[u8])),
         ("entries", hostile::entries),
         ("snapshots", hostile::snapshots),
+        ("feed", hostile::feed),
     ] {
         for file in fs::read_dir(folder(target)).unwrap() {
             play(&fs::read(file.unwrap().path()).unwrap());
             read += 1;
         }
     }
-    assert!(read >= 17, "{read}");
+    assert!(read >= 34, "{read}");
     for (n, change) in changes().into_iter().enumerate() {
         let bytes = fs::read(folder("entries").join(format!("v1-{n}"))).unwrap();
         let entry: Entry = decode("a log entry", &bytes).unwrap();
         assert_eq!(entry.payload, Entry::from_app_data(proposal(1, change)).payload);
     }
-    let sealed = fs::read(folder("snapshots").join("v1-0")).unwrap();
-    assert_eq!(open_snapshot(&sealed).unwrap().state, applied().state);
+    let purge: Entry = decode("a log entry", &fs::read(folder("entries").join("v1-purge")).unwrap()).unwrap();
+    let wanted = Entry::from_app_data(proposal(1, Change::Purge { key: "k".into() }));
+    assert_eq!(purge.payload, wanted.payload);
+    for name in ["v1-0", "v1-followed"] {
+        let sealed = fs::read(folder("snapshots").join(name)).unwrap();
+        let opened = open_snapshot(&sealed).unwrap();
+        assert_eq!((opened.state, opened.changes.purged()), (applied().state, 0), "{name}");
+    }
+    for (name, bytes) in frames() {
+        assert_eq!(fs::read(folder("feed").join(format!("v1-{name}"))).unwrap(), bytes, "{name}");
+    }
 }
--- /dev/null
+++ b/crates/store/tests/feed_sim/check.rs
@@ -0,0 +1,168 @@
+//! What must hold, whatever went wrong.
+
+use std::collections::BTreeMap;
+
+use stonefold_store::feed::frame::{Item, Key};
+use stonefold_store::feed::subscriber::Event;
+use stonefold_store::feed::table::Table;
+
+use super::truth::Change;
+use super::{CALM, Millis, NODES, QUIET, World};
+
+/// A purge is known everywhere within this in the calm, and any change within that, in ms.
+const PURGE: Millis = 1_100;
+const CHANGE: Millis = 18_000;
+
+/// What a node has seen and acted on.
+#[derive(Default)]
+pub struct Seen {
+    /// The latest revision of each document, and the latest list version, that it acted on in any life.
+    acted: BTreeMap<Key, u64>,
+    /// The number of the last purge in this life, and of all in all lives with their time.
+    last: Option<u64>,
+    pub purges: Vec<(u64, String, Millis)>,
+    /// When it acted on which revision of what.
+    times: BTreeMap<Key, Vec<(u64, Millis)>>,
+}
+
+impl Seen {
+    pub fn restarted(&mut self) {
+        self.last = None;
+    }
+
+    pub fn event(&mut self, event: Event, table: &Table, now: Millis, dropped: bool) -> Result<(), String> {
+        match event {
+            Event::Changed(keys) => keys.into_iter().try_for_each(|key| self.act(key, table, now)),
+            Event::PurgesUnknown(after, through) => {
+                if after > 0 && self.last.is_some() {
+                    return Err(format!("purges {after} to {through} are lost, though all are kept"));
+                }
+                self.last = Some(through);
+                Ok(())
+            }
+            Event::Purged(_, _) if dropped => Ok(()),
+            Event::Purged(first, keys) => {
+                for (number, key) in (first..).zip(keys) {
+                    if self.last != Some(number - 1) {
+                        return Err(format!("purge {number} comes after {:?}", self.last));
+                    }
+                    self.last = Some(number);
+                    self.purges.push((number, key, now));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// No node acts on what is older than what it acted on before, in any life.
+    fn act(&mut self, key: Key, table: &Table, now: Millis) -> Result<(), String> {
+        let Some((revision, item)) = table.item(&key) else {
+            return Err(format!("{key:?} changed, and is gone"));
+        };
+        self.times.entry(key.clone()).or_default().push((revision, now));
+        let mark = match item {
+            Item::List { version, .. } => version,
+            _ => revision,
+        };
+        let before = self.acted.insert(key.clone(), mark).unwrap_or(0);
+        match mark < before {
+            true => Err(format!("a step back: {key:?} {mark} after {before}")),
+            false => Ok(()),
+        }
+    }
+}
+
+/// After each step.
+pub fn always(world: &World) -> Result<(), String> {
+    let now = world.now;
+    for n in 0..NODES {
+        let node = &world.nodes[n];
+        if !node.alive() {
+            continue;
+        }
+        let table = &node.core.table;
+        let committed = world.log.entries.len() as u64;
+        if table.revision() > committed || table.purged() > world.log.purged() {
+            return Err(format!("node {n} holds revision {} of {committed}", table.revision()));
+        }
+        // What it says of how stale it is.
+        let stale = node.core.stale_ms(now - node.started);
+        let (entries, purges) = stale.map_or((0, 0), |stale| world.log.by(now.saturating_sub(stale + 1)));
+        if table.purged() < purges {
+            let held = table.purged();
+            return Err(format!("node {n} says {stale:?} ms stale, and holds {held} of {purges} purges"));
+        }
+        if now.is_multiple_of(1_000) {
+            complete(world, n, entries)?;
+        }
+    }
+    Ok(())
+}
+
+/// Of each item a node holds what was committed at its revision, and what was up to an entry, or something newer; and
+/// holds it as it was committed.
+fn complete(world: &World, n: usize, entries: u64) -> Result<(), String> {
+    let table = &world.nodes[n].core.table;
+    let mut wanted: BTreeMap<Key, u64> = BTreeMap::new();
+    for (index, entry) in (1..=entries.max(table.revision())).zip(&world.log.entries) {
+        if let Change::Item(item) = &entry.change {
+            wanted.insert(item.key(), index);
+        }
+    }
+    for (key, revision) in wanted {
+        let Some((found, item)) = table.item(&key).filter(|(found, _)| *found >= revision) else {
+            let held = table.items().get(&key).map(|held| held.revision);
+            return Err(format!("node {n} at {} skipped {key:?} of {revision}: {held:?}", table.revision()));
+        };
+        match &world.log.entries[found as usize - 1].change {
+            Change::Item(made) if *made == item => {}
+            _ => return Err(format!("node {n} holds {key:?} of {found}, which is not what was committed")),
+        }
+    }
+    Ok(())
+}
+
+/// In the end all are alike, and what was changed in the calm was there in time.
+pub fn end(world: &World) -> Result<(), String> {
+    let (entries, purges) = (world.log.entries.len() as u64, world.log.purged());
+    for n in 0..NODES {
+        complete(world, n, entries)?;
+        let node = &world.nodes[n];
+        if (node.core.table.revision(), node.seen.last) != (entries, Some(purges)) {
+            let (revision, last) = (node.core.table.revision(), node.seen.last);
+            return Err(format!("node {n} ends at {revision} and purge {last:?} of {entries} and {purges}"));
+        }
+        if let Some((number, key, _)) =
+            node.seen.purges.iter().find(|(number, key, _)| world.log.purges[*number as usize - 1] != *key)
+        {
+            return Err(format!("node {n} took {key} for purge {number}"));
+        }
+        in_time(world, n)?;
+    }
+    Ok(())
+}
+
+fn in_time(world: &World, n: usize) -> Result<(), String> {
+    let seen = &world.nodes[n].seen;
+    let taken: BTreeMap<u64, Millis> = seen.purges.iter().map(|(number, _, at)| (*number, *at)).collect();
+    let mut purge = 0;
+    for (at, entry) in world.log.entries.iter().enumerate() {
+        purge += u64::from(matches!(entry.change, Change::Purge(_)));
+        if !(CALM..QUIET).contains(&entry.at) {
+            continue;
+        }
+        let index = at as u64 + 1;
+        let (most, there) = match &entry.change {
+            Change::Purge(_) => (PURGE, taken.get(&purge).copied()),
+            Change::Item(item) => {
+                let acted = seen.times.get(&item.key()).and_then(|all| all.iter().find(|(r, _)| *r >= index));
+                (CHANGE, acted.map(|(_, at)| *at))
+            }
+        };
+        let took = there.map(|there| there.saturating_sub(entry.at));
+        if took.is_none_or(|took| took > most) {
+            return Err(format!("node {n} took {took:?} ms for entry {index}, at most {most} in the calm"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/tests/feed_sim/net.rs
@@ -0,0 +1,137 @@
+//! Connections in virtual time: in order, delayed, stalled, lost with or without a word.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fastrand::Rng;
+use stonefold_store::feed::publisher::{Limits, Session};
+
+use super::{CALM, Millis};
+
+pub type Queue = VecDeque<(Millis, Vec<u8>)>;
+
+pub struct Conn {
+    pub client: usize,
+    pub server: String,
+    pub opening: Option<Millis>,
+    pub up: Queue,
+    pub down: Queue,
+    /// Nothing arrives before this.
+    pub stalled: Millis,
+    /// The client is told that it has ended at this time.
+    pub closing: Option<Millis>,
+    pub session: Option<Session>,
+    /// Since when bytes are counted, and how many.
+    counted: Option<(Millis, u64)>,
+}
+
+impl Conn {
+    pub fn send_down(&mut self, bytes: Vec<u8>, now: Millis, rng: &mut Rng) {
+        send(&mut self.down, bytes, now, rng);
+    }
+
+    /// A subscriber is sent no more than the bound.
+    pub fn account(&mut self, bytes: usize, now: Millis) -> Result<(), String> {
+        let limits = Limits::default();
+        let (since, all) = self.counted.get_or_insert((now, 0));
+        *all += bytes as u64 + 72;
+        // A frame may overdraw, heartbeats go out in any case.
+        let passed = now - *since;
+        let most = limits.burst
+            + limits.reserve
+            + 2 * limits.frame as u64
+            + limits.rate * passed / 1_000
+            + 150 * (1 + passed / limits.heartbeat);
+        match *all <= most {
+            true => Ok(()),
+            false => Err(format!("{} bytes sent in {passed} ms, at most {most} may be", *all)),
+        }
+    }
+}
+
+fn send(queue: &mut Queue, bytes: Vec<u8>, now: Millis, rng: &mut Rng) {
+    // A segment that is lost is sent again after a while; none is in the calm.
+    let lost = if now < CALM && rng.u32(..100) < 2 { rng.u64(200..500) } else { 0 };
+    let after = queue.back().map_or(0, |(at, _)| *at);
+    queue.push_back((after.max(now + rng.u64(1..40) + lost), bytes));
+}
+
+/// The next message, if it has arrived.
+pub fn arrived(queue: &mut Queue, stalled: Millis, now: Millis) -> Option<Vec<u8>> {
+    let there = now >= stalled && queue.front().is_some_and(|(at, _)| *at <= now);
+    if there { queue.pop_front().map(|(_, bytes)| bytes) } else { None }
+}
+
+#[derive(Default)]
+pub struct Net {
+    next: u64,
+    pub conns: BTreeMap<u64, Conn>,
+    /// Nodes whose network stands still, until when.
+    stalls: BTreeMap<usize, Millis>,
+}
+
+impl Net {
+    pub fn ids(&self) -> Vec<u64> {
+        self.conns.keys().copied().collect()
+    }
+
+    pub fn connect(&mut self, client: usize, server: String, now: Millis, rng: &mut Rng) -> u64 {
+        self.next += 1;
+        let stalled = self.stalls.get(&client).copied().unwrap_or(0);
+        let conn = Conn {
+            client,
+            server,
+            opening: Some(now + rng.u64(2..80)),
+            up: Queue::new(),
+            down: Queue::new(),
+            stalled,
+            closing: None,
+            session: None,
+            counted: None,
+        };
+        self.conns.insert(self.next, conn);
+        self.next
+    }
+
+    pub fn up(&mut self, id: u64, bytes: Vec<u8>, now: Millis, rng: &mut Rng) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            send(&mut conn.up, bytes, now, rng);
+        }
+    }
+
+    /// The client has closed.
+    pub fn close(&mut self, id: u64, now: Millis) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            (conn.closing, conn.session) = (Some(now), None);
+        }
+    }
+
+    /// A node's network stands still, and some of its connections do not outlive that.
+    pub fn stall(&mut self, node: usize, until: Millis, reset: bool, now: Millis) {
+        self.stalls.insert(node, until);
+        for conn in self.conns.values_mut().filter(|conn| conn.client == node) {
+            conn.stalled = conn.stalled.max(until);
+            if reset {
+                conn.closing = Some(now.max(until));
+            }
+        }
+    }
+
+    /// Connections are gone; their clients are told, or find out by silence.
+    pub fn lost(&mut self, which: impl Fn(&Conn) -> bool, told: bool, now: Millis) {
+        for conn in self.conns.values_mut().filter(|conn| which(conn)) {
+            conn.session = None;
+            conn.up.clear();
+            conn.down.clear();
+            conn.opening = None;
+            conn.closing = told.then_some(now);
+            conn.stalled = if told { conn.stalled } else { Millis::MAX };
+        }
+    }
+
+    pub fn heal(&mut self, now: Millis) {
+        self.stalls.clear();
+        for conn in self.conns.values_mut().filter(|conn| conn.stalled != Millis::MAX) {
+            conn.stalled = conn.stalled.min(now);
+        }
+    }
+}
--- a/crates/store/tests/wire.rs
+++ b/crates/store/tests/wire.rs
@@ -108,6 +108,20 @@
     let more = (0..100).filter(|_| gate.admit(good, 10_000)).count();
     assert_eq!(more, 63, "and 64 at a time in all");
     assert_eq!(gate.turned_away, 1 + 37);
+    // Subscribers leave their places to others, and have a bound of their own.
+    (0..63).for_each(|_| gate.closed());
+    let all = (0..300)
+        .filter(|_| {
+            gate.admit(good, 10_000)
+                && (gate.subscribes() || {
+                    gate.closed();
+                    false
+                })
+        })
+        .count();
+    assert_eq!(all, SUBSCRIBERS);
+    gate.unsubscribed();
+    assert!(gate.admit(good, 10_000) && gate.subscribes() && gate.admit(good, 10_000) && !gate.subscribes());
     // Refusals are told for each new reason, and ever more rarely for the same.
     let told: Vec<u64> = (0..100).filter_map(|n| gate.refused(if n == 20 { "b" } else { "a" })).collect();
     assert_eq!(told, [1, 2, 4, 8, 16, 21, 22, 32, 64]);
