State a node's index in our own configuration, and in the emulator's and the lab's

Need: cold servers' budgets are dealt by `Me` and `Siblings`; `[node]` had `siblings` alone, so that nodes started from our own file, the emulator's and the hollow ones agreed on average only.

The refusal has a test (new, not seen red).

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -96,6 +96,10 @@
         if let Some(zone) = self.node.zone.as_ref().filter(|zone| !self.fleet.zones.contains(zone)) {
             return wrong("node.zone", format!("{zone:?} is none of fleet.zones: {:?}", self.fleet.zones));
         }
+        let siblings = self.node.siblings.get();
+        if let Some(index) = self.node.index.map(|index| index.get()).filter(|&index| index >= siblings) {
+            return wrong("node.index", format!("{index} is none of node.siblings: 0 to {}", siblings - 1));
+        }
         if let Err(error) = self.log.level.parse::<stonefold_observe::Levels>() {
             return wrong("log.level", error.to_string());
         }
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -60,6 +60,7 @@
             "Quantum": 1.0,
             "RegistryMode": if fleet.subscribe { "subscribe" } else { "automatic" },
             "Siblings": self.node.siblings.get(),
+            "Me": self.node.index.map(|index| index.get()),
             "Zone": self.node.zone,
         })
     }
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -65,12 +65,17 @@
     pub zone: Option<String>,
     /// Nodes that send to the same servers, this one included.
     pub siblings: Count<1, 65_536>,
+    /// Which of them this one is, counting from 0: below `siblings`, and another at each. Without it the parts of cold
+    /// servers that nodes take agree on average only.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub index: Option<Count<0, 65_535>>,
 }
 
 impl Default for Node {
     fn default() -> Node {
-        let (listen, discovery, operator, seed, zone) = Default::default();
-        Node { name: "stonefold".into(), listen, discovery, operator, seed, zone, siblings: Count::new(1) }
+        let (listen, discovery, operator, seed, zone, index) = Default::default();
+        let siblings = Count::new(1);
+        Node { name: "stonefold".into(), listen, discovery, operator, seed, zone, siblings, index }
     }
 }
 
--- a/crates/config/tests/refusals.rs
+++ b/crates/config/tests/refusals.rs
@@ -58,6 +58,11 @@
             "a whole number of 120 to 1048576",
         ),
         (format!("{GOOD}\n[log]\nlevel = \"inf\""), "13:1: log.level", "bad log level"),
+        (
+            swap("[node]", "[node]\nindex = 4\nsiblings = 4"),
+            "3:1: node.index",
+            "none of node.siblings: 0 to 3",
+        ),
         (
             format!("{GOOD}\n[[class]]\nname = \"read\"\naim=\"1ms\"\ndeadline=\"1ms\"\neffect=\"safe\""),
             "13:1: class[1].name",
--- a/crates/emulator/src/config.rs
+++ b/crates/emulator/src/config.rs
@@ -24,6 +24,7 @@
                 operator,
                 zone: Some(self.zone_of(node).to_owned()),
                 siblings: Count::new(site.nodes.get() as u64),
+                index: Some(Count::new(node as u64)),
                 ..Node::default()
             },
             requests: Requests { over_share_worth: Part::new(0.05), ..Requests::default() },
--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -218,6 +218,7 @@
                 discovery: Some(self.discovery[node]),
                 zone: Some(zone(node)),
                 siblings: Count::new((self.plan.nodes + self.plan.others) as u64),
+                index: Some(Count::new(node as u64)),
                 ..tree::Node::default()
             },
             fleet: tree::Fleet {
