State no more time than is left, and refuse what was never begun

Ruled out: retries and copies (their time is taken anew at each first byte) and commands in pieces (they count from their last byte).

SendPermit (was Leave) gives the time left, or nothing when less than 1 ms is; a command counts from when bytes were first seen waiting; AttemptEnd.begun. Commands beyond 64 open on one connection get -BUSY MS from the module's own pause in place of -ERR. New figure svc_deadline_excess_seconds, a histogram of what attempts stated beyond what was left when their last byte went out; it shows a long write to a slow origin, which the node can't know before.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -300,13 +300,21 @@
     pub hit: Option<bool>,
     /// How busy the server's cores are (0 to 1), where it told.
     pub utilization: Option<f64>,
+    /// Whether anything of it was written. What was not has surely had no effect, whatever its outcome: a connection
+    /// that did not come up before the request's time was over, say.
+    pub begun: bool,
 }
 
 impl AttemptEnd {
+    /// Whether the attempt may have had its effect.
+    pub fn may_have_run(&self) -> bool {
+        self.begun && self.outcome.may_have_run()
+    }
+
     /// An attempt that ended at once, with nothing told beside; it settles the request if it was served.
     pub fn new(id: RequestId, attempt: usize, outcome: Outcome) -> Self {
         let settled = outcome == Outcome::Ok;
-        AttemptEnd { id, attempt, outcome, elapsed: 0, settled, hit: None, utilization: None }
+        AttemptEnd { id, attempt, outcome, elapsed: 0, settled, hit: None, utilization: None, begun: true }
     }
 }
 
--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/brain.rs
@@ -368,7 +368,7 @@
         let id = end.id;
         let Some(r) = self.open.get_mut(&id) else { return };
         let Some(t) = r.tries.get_mut(end.attempt).filter(|t| t.out) else { return };
-        (t.out, t.may_have_run) = (false, end.outcome.may_have_run());
+        (t.out, t.may_have_run) = (false, end.may_have_run());
         t.missed = end.outcome == Outcome::Miss;
         let (to, key) = (t.server, r.key);
         let stored = r.tries.iter().find(|t| t.missed).map(|t| t.server);
@@ -508,8 +508,8 @@
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
         if r.effect == Effect::Safe || r.tries.iter().all(|t| !t.out && !t.may_have_run) {
-            let pause = self.timings[r.class].late(4.0).min(self.settings.max_retry_after / 2);
-            out.push(Action::Refuse { id, retry_after: pause + self.rng.u64(0..=pause) });
+            let retry_after = self.retry_pause(r.class.checked_sub(1));
+            out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
         }
--- a/crates/balancer/src/health.rs
+++ b/crates/balancer/src/health.rs
@@ -3,6 +3,14 @@
 use super::*;
 
 impl Balancer {
+    /// How long a client whose request of this class is refused should wait, in microseconds: spread, so that those
+    /// refused together do not return together. 0 where the settings allow no pause.
+    pub fn retry_pause(&mut self, class: Option<usize>) -> Micros {
+        let timing = class.and_then(|class| self.timings.get(class + 1)).unwrap_or(&self.timings[0]);
+        let pause = timing.late(4.0).min(self.settings.max_retry_after / 2);
+        pause + self.rng.u64(0..=pause)
+    }
+
     /// Learns from the end of an attempt; tells whose attempts it shows to be lost.
     pub(super) fn observe(&mut self, end: &AttemptEnd, to: ServerId) -> Vec<RequestId> {
         self.learn(end, to);
--- a/crates/node/src/clients/absent.rs
+++ b/crates/node/src/clients/absent.rs
@@ -6,19 +6,45 @@
 
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::peek::nothing_has_come;
 
 /// How long a client is waited for that has sent what is not read, after the last byte to it.
 const LINGER: Duration = Duration::from_secs(2);
 
-/// Waits until the client has closed its side, or the connection is broken. Takes nothing from it.
+/// Since when bytes of a client may have been waiting that the node was not reading.
+///
+/// Guards against a request whose time is counted from when it is read, though it came while the connection was not
+/// read: behind as many answers as may be owed, or while a long answer was written. When each byte came can't be
+/// told afterwards, so that all count from the first of them until the kernel has nothing left to read.
+#[derive(Debug, Default)]
+pub struct UnreadSince(Option<Instant>);
+
+impl UnreadSince {
+    /// Bytes are waiting now.
+    fn note(&mut self) {
+        self.0.get_or_insert_with(Instant::now);
+    }
+
+    /// When what was just read came, at the earliest.
+    pub fn read(&mut self, stream: &TcpStream) -> Instant {
+        let came = self.0.unwrap_or_else(Instant::now);
+        if self.0.is_some() && nothing_has_come(stream) {
+            self.0 = None;
+        }
+        came
+    }
+}
+
+/// Waits until the client has closed its side, or the connection is broken. Takes nothing from it, and notes when
+/// it sends something.
 ///
 /// A client that closes its sending side alone counts as gone, as it does when that is read.
-pub async fn gone(stream: &TcpStream) {
-    let unread = stream.peek(&mut [0]).await;
-    if unread.is_ok_and(|bytes| bytes > 0) {
+pub async fn gone(stream: &TcpStream, unread: &mut UnreadSince) {
+    let peeked = stream.peek(&mut [0]).await;
+    if peeked.is_ok_and(|bytes| bytes > 0) {
+        unread.note();
         // What it has sent hides the end behind it, but not from the kernel. A socket is not registered for data
         // of priority, so that this waits for its reading side's end alone.
         let _ = stream.ready(Interest::PRIORITY).await; // an error is an end
@@ -26,11 +52,15 @@
 }
 
 /// Writes, but for no longer than the client is there.
-pub async fn unless_gone(stream: &TcpStream, write: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+pub async fn unless_gone(
+    stream: &TcpStream,
+    unread: &mut UnreadSince,
+    write: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
     tokio::select! {
         biased;
         written = write => written,
-        () = gone(stream) => Err(io::ErrorKind::ConnectionAborted.into()),
+        () = gone(stream, unread) => Err(io::ErrorKind::ConnectionAborted.into()),
     }
 }
 
@@ -41,6 +71,6 @@
 /// yet sent goes with it.
 pub async fn linger(stream: &TcpStream) {
     if !nothing_has_come(stream) {
-        let _ = timeout(LINGER, gone(stream)).await;
+        let _ = timeout(LINGER, gone(stream, &mut UnreadSince::default())).await;
     }
 }
--- a/crates/node/src/clients/command.rs
+++ b/crates/node/src/clients/command.rs
@@ -62,8 +62,6 @@
     Class,
     #[error("id in use")]
     InUse,
-    #[error("too many commands at once")]
-    TooMany,
 }
 
 /// How long a write says that it is, by its head.
--- a/crates/node/src/clients/owed.rs
+++ b/crates/node/src/clients/owed.rs
@@ -83,10 +83,19 @@
 pub enum Owed {
     Ready(BytesFrame),
     Waiting(Pending),
+    /// The refusal of a request that was never begun.
+    Refused(oneshot::Receiver<Answer>),
     /// A value that has begun to come.
     Coming(Stream, Pending),
 }
 
+impl Owed {
+    /// Whether its request is open.
+    pub fn is_open(&self) -> bool {
+        matches!(self, Owed::Waiting(_) | Owed::Coming(..))
+    }
+}
+
 /// What goes out next.
 pub enum Outgoing {
     Frame(BytesFrame),
@@ -98,6 +107,7 @@
 pub async fn next(owed: &mut VecDeque<Owed>) -> Outgoing {
     let answer = match owed.front_mut() {
         Some(Owed::Waiting(pending)) => Some((&mut pending.answer).await.unwrap_or(Answer::Failed)),
+        Some(Owed::Refused(answer)) => Some(answer.await.unwrap_or(Answer::Failed)),
         Some(Owed::Ready(_) | Owed::Coming(..)) => None,
         None => std::future::pending().await,
     };
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -17,11 +17,11 @@
 use tracing::trace;
 
 use super::Clients;
-use super::absent::{gone, linger, unless_gone};
+use super::absent::{UnreadSince, gone, linger, unless_gone};
 use super::command::{CommandError, announced, arguments, parse_command};
 use super::idle::{IdleSlot, IdleState};
 use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
-use crate::message::{Arrival, Message};
+use crate::message::{Arrival, Message, Surplus};
 use crate::metrics::InFlight;
 use crate::presence::Presence;
 use crate::relay::{CHUNK, LARGEST, Room, STUCK, WHOLE};
@@ -29,7 +29,7 @@
 
 /// Room for a command that does not tell how long it is.
 const UNTOLD: usize = 2 * WHOLE;
-/// Requests that one connection may have open; those beyond are answered with an error.
+/// Requests that one connection may have open; those beyond are refused.
 const PIPELINED: usize = 64;
 /// Answers owed on one connection, errors among them; beyond that it is not read.
 const OWED: usize = 1024;
@@ -55,7 +55,9 @@
     large: Option<Room>,
     /// How much of it had come when the client's patience was last reckoned from.
     come: usize,
+    /// When the bytes that were read last came, at the earliest.
     read_at: Instant,
+    unread: UnreadSince,
     owed: VecDeque<Owed>,
     /// How many of those owed are requests.
     open: usize,
@@ -81,6 +83,7 @@
             large: None,
             come: 0,
             read_at: now,
+            unread: UnreadSince::default(),
             owed: VecDeque::new(),
             open: 0,
             heard: false,
@@ -147,17 +150,17 @@
                     if read == 0 {
                         return Ok(());
                     }
-                    self.read_at = Instant::now();
+                    self.read_at = self.unread.read(client);
                     if self.heard && read == self.buffer.len() {
-                        self.since = self.read_at; // a command's first byte
+                        self.since = Instant::now(); // a command's first byte
                     }
                     // A long value may take its time as long as it comes on.
                     if self.large.is_some() && self.buffer.len() >= self.come + CHUNK {
-                        (self.since, self.come) = (self.read_at, self.buffer.len());
+                        (self.since, self.come) = (Instant::now(), self.buffer.len());
                     }
                 }
                 // Guards against: a client that leaves while it is not read, and whose requests go on.
-                () = gone(client), if looks => return Ok(()),
+                () = gone(client, &mut self.unread), if looks => return Ok(()),
                 // Guards against: long commands on all connections at once, which outgrow the memory.
                 Ok(room) = budget.room(wanted), if reading && !roomy => {
                     self.buffer.reserve(wanted.saturating_sub(self.buffer.len()));
@@ -169,10 +172,10 @@
                         Outgoing::Frame(frame) => {
                             let text = self.answers(frame);
                             let write = async { timeout(STUCK, writer.write_all(&text)).await? };
-                            unless_gone(client, write).await?;
+                            unless_gone(client, &mut self.unread, write).await?;
                         }
                         Outgoing::Value(stream, _pending) => {
-                            unless_gone(client, stream.write_to(&mut writer)).await?;
+                            unless_gone(client, &mut self.unread, stream.write_to(&mut writer)).await?;
                         }
                     }
                     self.recount();
@@ -223,6 +226,10 @@
         while text.len() < WRITTEN {
             let frame = match self.owed.front_mut() {
                 Some(Owed::Ready(frame)) => std::mem::replace(frame, BytesFrame::Null),
+                Some(Owed::Refused(answer)) => match answer.try_recv().map(outgoing) {
+                    Ok(Ok(frame)) => frame,
+                    _ => break, // not yet, as below
+                },
                 Some(Owed::Waiting(pending)) => match pending.answer.try_recv() {
                     Ok(answer) => match outgoing(answer) {
                         Ok(frame) => frame,
@@ -244,7 +251,7 @@
     }
 
     fn recount(&mut self) {
-        self.open = self.owed.iter().filter(|owed| !matches!(owed, Owed::Ready(_))).count();
+        self.open = self.owed.iter().filter(|owed| owed.is_open()).count();
     }
 
     /// The longest command that is read: no longer than there is room for it.
@@ -313,7 +320,7 @@
             return Err(CommandError::Class);
         }
         if self.open >= PIPELINED {
-            return Err(CommandError::TooMany);
+            return Ok(self.refuse(&command));
         }
         // Guards against: the answer to another client's request, or one for both.
         let open_id = OpenId::take(&command.id, &self.shared.open_ids).ok_or(CommandError::InUse)?;
@@ -340,6 +347,19 @@
     }
 }
 
+impl Session {
+    /// Refuses a request that was never begun, so that its client may try again. How long it is to wait first is
+    /// the driver's to say.
+    fn refuse(&mut self, command: &Command) -> Owed {
+        let (sender, answer) = oneshot::channel();
+        let class = command.fact("c").map(str::to_owned);
+        // A driver that is gone drops the sender, and the request ends as failed.
+        let _ = self.shared.to.send(Message::Surplus(Surplus { class, answer: sender }));
+        self.asked = true;
+        Owed::Refused(answer)
+    }
+}
+
 /// Reads what has come. Cancelled, it has read nothing.
 async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -16,15 +16,15 @@
 use crate::upstream::attempt;
 use crate::upstream::connection::Connection;
 use crate::upstream::directory::Target;
-use crate::upstream::leave::Begun;
+use crate::upstream::send_permit::SendStart;
 
 impl Driver {
     pub(super) fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
         let now = Instant::now();
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
-        let begun = Begun::default();
-        open.begun.push(begun.clone());
+        let start = SendStart::default();
+        open.starts.push(start.clone());
         if open.client.has_ended() {
             // Word of it waits in the inbox, behind what made the module send.
             open.attempts.push(None);
@@ -32,7 +32,7 @@
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         }
         let place =
-            self.directory.check_out(server, now, open.client.clone(), begun).filter(|(_, pooled)| {
+            self.directory.check_out(server, now, open.client.clone(), start).filter(|(_, pooled)| {
                 let held = self.running + self.directory.idle();
                 self.held.store(held, Ordering::Relaxed);
                 if pooled.is_none() && held >= self.connections {
@@ -48,8 +48,8 @@
         trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
             fresh = pooled.is_none(), wait_us = wait.as_micros() as u64, "an attempt is out");
         // A fetch may run on for others; its server is told of no more than its own client's time.
-        let until = (now + wait).min(open.until);
-        let task = self.start(id, attempt, server, target, pooled, until);
+        let deadline = (now + wait).min(open.deadline);
+        let task = self.start(id, attempt, server, target, pooled, deadline);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), coming: None }));
         self.running += 1;
@@ -62,7 +62,7 @@
         server: ServerId,
         target: Target,
         pooled: Option<Connection>,
-        until: Instant,
+        deadline: Instant,
     ) -> AbortHandle {
         let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
         let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
@@ -74,7 +74,7 @@
         let work = async move {
             let addr = target.addr;
             let (reply, connection) =
-                attempt::run(target, pooled, &command, until, connect_timeout, &metrics.calls, pass).await;
+                attempt::run(target, pooled, &command, deadline, connect_timeout, &metrics, pass).await;
             let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
         };
         tokio::spawn(work).abort_handle()
@@ -104,7 +104,7 @@
     /// attempt whose connection came up late.
     pub(super) fn stop_unwritten(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id).filter(|open| open.answer.is_none()) else { return };
-        let unwritten = |&n: &usize| open.attempts[n].is_some() && !open.begun[n].has();
+        let unwritten = |&n: &usize| open.attempts[n].is_some() && !open.starts[n].is_set();
         let unwritten: Vec<usize> = (0..open.attempts.len()).filter(unwritten).collect();
         unwritten.into_iter().for_each(|attempt| self.give_up(id, attempt, Outcome::Ignored));
     }
@@ -163,11 +163,13 @@
         let coming = |open: &Open| open.attempts.iter().flatten().any(|running| running.coming.is_some());
         let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
         let elapsed = elapsed.as_micros() as Micros;
+        let mut begun = true;
         if let Some(open) = self.open.get(&id) {
+            begun = open.starts.get(attempt).is_none_or(SendStart::is_set);
             trace!(event = "attempt_ended", request = %open.name(), attempt, ?outcome, elapsed_us = elapsed,
                 "an attempt has ended");
         }
-        let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
+        let end = AttemptEnd { elapsed, settled, hit, begun, ..AttemptEnd::new(id, attempt, outcome) };
         self.events.push_back(Event::Outcome(end));
         self.close_if_done(id);
     }
--- a/crates/node/src/driver/books.rs
+++ b/crates/node/src/driver/books.rs
@@ -14,19 +14,19 @@
 use crate::metrics::Outcomes;
 use crate::presence::Presence;
 use crate::request::{Answer, Command};
-use crate::upstream::leave::Begun;
+use crate::upstream::send_permit::SendStart;
 
 /// A request that is owed an answer or has an attempt out.
 pub struct Open {
     pub command: Arc<Command>,
-    /// Until when its client waits, less the answer's way.
-    pub until: Instant,
+    /// Until when its client waits, less [`ANSWER_RESERVE`](crate::request::ANSWER_RESERVE).
+    pub deadline: Instant,
     /// Taken by the final answer.
     pub answer: Option<oneshot::Sender<Answer>>,
     /// By their numbers; nothing once an attempt has ended.
     pub attempts: Vec<Option<Running>>,
     /// Of each of them, whether and when its first byte went out.
-    pub begun: Vec<Begun>,
+    pub starts: Vec<SendStart>,
     pub client: Presence,
     /// Where its end is counted; nowhere for a request of no class.
     pub outcomes: Option<Arc<Outcomes>>,
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -18,21 +18,19 @@
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 use tokio_util::time::DelayQueue;
-use tracing::info;
+use tracing::{debug, info};
 
 use books::{Clock, Open};
 
 use crate::config::Config;
-use crate::message::{Arrival, Control, Message, Terms};
+use crate::message::{Arrival, Control, Message, Surplus, Terms};
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::relay::Budget;
-use crate::request::Answer;
+use crate::request::{ANSWER_RESERVE, Answer};
 use crate::shared::Ledger;
 use crate::upstream::directory::Directory;
 
-/// Kept back from a client's time, for the way of the answer and the grain of timers.
-const ON_THE_WAY: Micros = 5_000;
 /// The timers' queue panics at times of some years, which odd settings could ask for.
 const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
 /// How often idle connections are looked at.
@@ -220,6 +218,7 @@
     fn told(&mut self, message: Message) {
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
+            Message::Surplus(surplus) => self.refuse(surplus),
             Message::Gone(id) => self.gone(id),
             Message::Begun(id, attempt, stream) => self.begun(id, attempt, stream),
             Message::Ended(ended) => self.ended(ended),
@@ -296,7 +295,7 @@
         if client.has_ended() {
             return; // its answer would go nowhere
         }
-        let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
+        let spent = (at.elapsed() + ANSWER_RESERVE).as_micros() as Micros;
         let request = Request {
             id,
             class: command.fact("c").and_then(|name| self.setup.class(name)),
@@ -307,20 +306,32 @@
         };
         let class = command.fact("c").filter(|_| request.class.is_some());
         let outcomes = class.map(|class| self.metrics.class(class));
-        let until = Instant::now() + Duration::from_micros(request.budget);
+        let deadline = Instant::now() + Duration::from_micros(request.budget);
         let (command, answer) = (Arc::new(command), Some(answer));
-        let (attempts, begun) = Default::default();
-        let open = Open { command, until, answer, attempts, begun, client, outcomes };
+        let (attempts, starts) = Default::default();
+        let open = Open { command, deadline, answer, attempts, starts, client, outcomes };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
 
+    /// Refuses a request that is beyond what its connection may have open.
+    fn refuse(&mut self, surplus: Surplus) {
+        let class = surplus.class.as_deref();
+        let index = class.and_then(|name| self.setup.class(name));
+        if let Some(name) = class.filter(|_| index.is_some()) {
+            self.metrics.class(name).refused.add_one();
+        }
+        let pause = self.balancer.retry_pause(index);
+        debug!(event = "refused", class, retry_after_us = pause, "a connection has too many requests open");
+        let _ = surplus.answer.send(Answer::Busy(pause)); // the client may have left
+    }
+
     fn gone(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             if open.answer.take().is_some()
                 && let Some(ended_at) = open.client.ended_at()
             {
-                let late = open.begun.iter().filter(|begun| begun.after(ended_at)).count();
+                let late = open.starts.iter().filter(|start| start.after(ended_at)).count();
                 self.metrics.note_client_end(ended_at.elapsed(), late);
             }
             self.events.push_back(Event::ClientGone(id));
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -23,6 +23,7 @@
 /// have few messages under way.
 pub enum Message {
     Arrived(Arrival),
+    Surplus(Surplus),
     Gone(RequestId),
     /// The value of an attempt has begun to come.
     Begun(RequestId, usize, Stream),
@@ -90,6 +91,13 @@
     pub client: Presence,
 }
 
+/// A request beyond what one connection may have open. It is refused at once and never begun.
+pub struct Surplus {
+    /// The class that it names.
+    pub class: Option<String>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
 /// An attempt that has run to its end.
 pub struct Ended {
     pub id: RequestId,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,12 +1,15 @@
 //! The node's figures: plain counters, each incremented at the one place where the thing happens, and read
 //! by operators without going through the driver.
 
+mod buckets;
+
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
+use buckets::Buckets;
 use hdrhistogram::Histogram;
 use stonefold_observe::Dropped;
 
@@ -71,6 +74,8 @@
     classes: Mutex<BTreeMap<String, Arc<Outcomes>>>,
     /// Attempts written whole to servers.
     pub calls: Figure,
+    /// By how much the time that an attempt stated exceeded its client's when its last byte was written.
+    pub deadline_excess: Buckets,
     /// Idle connections to caches on which more has come than was asked for.
     pub unasked: Figure,
     /// Connections used again so soon that such a thing could yet have come.
@@ -149,6 +154,7 @@
             head(&mut text, name, kind);
             let _ = writeln!(text, "{name} {value}");
         }
+        self.deadline_excess.text(&mut text, "svc_deadline_excess_seconds");
         self.client_ends.text(&mut text, "svc_leave_seen_seconds");
         self.loop_lag.text(&mut text, "svc_loop_lag_seconds");
         if let Some(took) = self.ready.get() {
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -71,3 +71,20 @@
     metrics.ready(Duration::from_secs(60));
     assert!(metrics.text().contains("# TYPE svc_ready_seconds gauge\nsvc_ready_seconds 1.234\n"));
 }
+
+#[test]
+fn a_duration_counts_in_its_bucket_and_all_above() {
+    let metrics = Metrics::default();
+    for ms in [0, 5, 6, 400, 60_000] {
+        metrics.deadline_excess.record(Duration::from_millis(ms));
+    }
+    let text = metrics.text();
+    for (bound, count) in
+        [("0.001", 1), ("0.005", 2), ("0.02", 3), ("0.15", 3), ("0.5", 4), ("5", 4), ("+Inf", 5)]
+    {
+        let row = format!("svc_deadline_excess_seconds_bucket{{le=\"{bound}\"}} {count}");
+        assert!(text.lines().any(|line| line == row), "{row} in {text}");
+    }
+    assert!(text.contains("svc_deadline_excess_seconds_sum 60.411\n"));
+    assert!(text.contains("svc_deadline_excess_seconds_count 5\n"));
+}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,14 +1,17 @@
 //! A client's request and its answer, whatever protocol they came by and go out on.
 
 use std::str;
+use std::time::Duration;
 
 use bytes::Bytes;
 use stonefold_balancer::Micros;
 use stonefold_proto::resp;
-use tokio::time::Instant;
 
 use crate::relay::Stream;
 
+/// Kept back from a client's time, for the way of the answer and the grain of timers.
+pub const ANSWER_RESERVE: Duration = Duration::from_millis(5);
+
 /// A client's request.
 #[derive(Debug)]
 pub struct Command {
@@ -28,13 +31,12 @@
         resp::fact(str::from_utf8(&self.facts).ok()?, name)
     }
 
-    /// The names and values as they came, but for how long the node waits from now on: in milliseconds, 1 at least.
+    /// The names and values as they came, except that `d` states the time left, in whole milliseconds.
     ///
-    /// Asked right before an attempt is written. Guards against: a server that works on for a client whose time was
-    /// spent on earlier attempts, or on the connection.
-    pub fn facts_until(&self, until: Instant) -> Vec<u8> {
-        let left = until.saturating_duration_since(Instant::now());
-        let wait = format!("d={}", left.as_millis().max(1));
+    /// Called right before an attempt is written. Guards against a server that works on for a client whose time was
+    /// spent on earlier attempts, or on opening the connection.
+    pub fn facts_with_wait(&self, left: Duration) -> Vec<u8> {
+        let wait = format!("d={}", left.as_millis());
         let facts = self.facts.split(|&b| b == b',').map(|fact| match fact.starts_with(b"d=") {
             true => wait.as_bytes(),
             false => fact,
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -8,19 +8,19 @@
 use super::connection::{Connection, out_of_descriptors};
 use super::directory::Target;
 use super::reply::Reply;
-use crate::metrics::Figure;
+use crate::metrics::Metrics;
 use crate::relay::Pass;
 use crate::request::Command;
 
-/// Makes one attempt, which tells the server that it is waited for until then. The connection comes back if another
-/// request may use it.
+/// Makes one attempt, which states the time left until its deadline. The connection comes back if another request
+/// may use it.
 pub async fn run(
     target: Target,
     pooled: Option<Connection>,
     command: &Command,
-    until: Instant,
+    deadline: Instant,
     connect_timeout: Duration,
-    written: &Figure,
+    metrics: &Metrics,
     pass: Pass,
 ) -> (Reply, Option<Connection>) {
     let connection = match pooled {
@@ -34,12 +34,12 @@
     };
     match connection {
         Connection::Cache(connection) => {
-            let (reply, connection) = connection.ask(command, until, target.leave, written, pass).await;
+            let (reply, connection) = connection.ask(command, deadline, target.permit, metrics, pass).await;
             (reply, connection.map(Connection::Cache))
         }
         Connection::Origin(connection) => {
             let (reply, connection) =
-                connection.ask(command, until, target.addr, target.leave, written, pass).await;
+                connection.ask(command, deadline, target.addr, target.permit, metrics, pass).await;
             (reply, connection.map(Connection::Origin))
         }
     }
--- a/crates/node/src/upstream/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::str;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
@@ -11,9 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use super::leave::Leave;
 use super::reply::Reply;
-use crate::metrics::Figure;
+use super::send_permit::SendPermit;
+use crate::metrics::Metrics;
 use crate::peek::{nothing_has_come, something_has_come};
 use crate::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 use crate::request::Command;
@@ -41,21 +42,21 @@
         something_has_come(&self.0)
     }
 
-    /// Sends one request, which the node waits for until then, and waits for its answer.
+    /// Sends one request, which states the time left until its deadline, and waits for its answer.
     pub async fn ask(
         mut self,
         command: &Command,
-        until: Instant,
-        leave: Leave,
-        written: &Figure,
+        deadline: Instant,
+        permit: SendPermit,
+        metrics: &Metrics,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
-        if !leave.begin() {
+        let Some(stated) = permit.start(deadline) else {
             return (Reply::of(Outcome::Ignored), None);
-        }
+        };
         // Broken before the last byte was written: it never ran. After that it may have.
         let write = async {
-            self.0.write_all(&head(command, until)).await?;
+            self.0.write_all(&head(command, stated.left())).await?;
             if let Some(value) = &command.value {
                 self.0.write_all(value).await?;
                 self.0.write_all(b"\r\n").await?;
@@ -65,7 +66,8 @@
         if write.await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
-        written.add_one();
+        metrics.calls.add_one();
+        metrics.deadline_excess.record(stated.excess(Instant::now()));
         let mut buffer = BytesMut::new();
         loop {
             if let Some(length) = long_value(&mut buffer) {
@@ -189,8 +191,8 @@
 }
 
 /// The command up to its value: as it came, but for how long the node will wait.
-fn head(command: &Command, until: Instant) -> Bytes {
-    let facts = command.facts_until(until);
+fn head(command: &Command, left: Duration) -> Bytes {
+    let facts = command.facts_with_wait(left);
     let name = if command.value.is_some() { "CACHE.SET" } else { "CACHE.GET" };
     let words = [name.as_bytes(), command.key.as_bytes(), &command.id[..], &facts[..]];
     let mut text = BytesMut::from(if command.value.is_some() { "*5\r\n" } else { "*4\r\n" });
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
-use super::leave::{Begun, Leave, Standing};
+use super::send_permit::{SendPermit, SendStart, ServingFlag};
 use crate::metrics::Metrics;
 use crate::presence::Presence;
 
@@ -27,10 +27,10 @@
 /// A connection that is used again this soon after its last answer may meet a second copy of it.
 const SOON: Duration = Duration::from_millis(10);
 
-/// Names that are known after they have left the list.
+/// Names that are known after they have left the list: several times the servers of a large site, some 200 KB.
 ///
 /// Guards against: an order for a server that has died and will be back, taken for a slip of the pen.
-const REMEMBERED: usize = 256;
+const FORMER_NAMES: usize = 4_096;
 
 struct Server {
     name: String,
@@ -38,7 +38,7 @@
     origin: bool,
     /// Whether the list says that it serves.
     up: bool,
-    standing: Standing,
+    serving: ServingFlag,
     /// As it was last listed, for what is said of changes.
     state: MemberState,
     started_ms: f64,
@@ -50,7 +50,7 @@
 pub struct Target {
     pub addr: SocketAddr,
     pub origin: bool,
-    pub leave: Leave,
+    pub permit: SendPermit,
 }
 
 /// The servers by id.
@@ -111,7 +111,7 @@
             addr: entry.addr,
             origin,
             up: true,
-            standing: Standing::new(),
+            serving: ServingFlag::new(),
             state,
             started_ms: entry.started_ms,
             idle: Vec::new(),
@@ -121,7 +121,7 @@
             server.addr = entry.addr;
             // Guards against: a first byte to whoever has the old address now, by an attempt that connects there.
             server.close();
-            server.standing = Standing::new();
+            server.serving = ServingFlag::new();
             server.idle.clear();
         }
         if new || server.state != state || server.started_ms != entry.started_ms {
@@ -193,7 +193,7 @@
         id: ServerId,
         now: Instant,
         client: Presence,
-        begun: Begun,
+        start: SendStart,
     ) -> Option<(Target, Option<Connection>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
@@ -208,14 +208,14 @@
                 break;
             }
         }
-        let leave = Leave::new(server.standing.clone(), client, begun);
-        let target = Target { addr: server.addr, origin: server.origin, leave };
+        let permit = SendPermit::new(server.serving.clone(), client, start);
+        let target = Target { addr: server.addr, origin: server.origin, permit };
         Some((target, pooled))
     }
 
     /// Keeps a connection for the next request, if its server still takes some at that address.
     pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: Connection, now: Instant) {
-        if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
+        if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.serving.serving()) {
             server.idle.push((now, connection));
         }
     }
@@ -254,13 +254,13 @@
 impl Server {
     /// Gone: attempts under way send nothing more.
     fn close(&self) {
-        self.standing.set(false);
+        self.serving.set(false);
     }
 
     /// Takes new requests if it serves and nobody took it out.
     fn stand(&mut self, banned: bool) {
         let serving = self.up && !banned;
-        self.standing.set(serving);
+        self.serving.set(serving);
         if !serving {
             self.idle.clear();
         }
@@ -286,7 +286,7 @@
 fn note_gone(gone: &mut VecDeque<String>, name: &str, banned: bool) -> bool {
     if !banned && !gone.iter().any(|known| known == name) {
         gone.push_back(name.to_owned());
-        if gone.len() > REMEMBERED {
+        if gone.len() > FORMER_NAMES {
             gone.pop_front();
         }
     }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod caches;
 pub mod connection;
 pub mod directory;
-pub mod leave;
+mod last_write;
 mod origin;
 pub mod reply;
+pub mod send_permit;
--- a/crates/node/src/upstream/origin.rs
+++ b/crates/node/src/upstream/origin.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -16,9 +17,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use super::leave::Leave;
+use super::last_write::{LastWrite, NotedStream};
 use super::reply::Reply;
-use crate::metrics::Figure;
+use super::send_permit::SendPermit;
+use crate::metrics::Metrics;
 use crate::relay::{self, CHUNK, Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 use crate::request::Command;
 
@@ -39,6 +41,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    last_write: LastWrite,
 }
 
 impl Drop for Connection {
@@ -50,6 +53,8 @@
 
 impl Connection {
     pub async fn new(stream: TcpStream) -> io::Result<Self> {
+        let last_write = LastWrite::default();
+        let stream = NotedStream::new(stream, last_write.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(CHUNK)
             .handshake(TokioIo::new(stream))
@@ -58,45 +63,51 @@
         let task = tokio::spawn(async move {
             let _ = connection.await; // a break shows in the request that is out
         });
-        Ok(Connection { sender, task })
+        Ok(Connection { sender, task, last_write })
     }
 
     pub fn is_live(&self) -> bool {
         !self.sender.is_closed()
     }
 
-    /// Sends one request, which the node waits for until then, and waits for its answer.
+    /// Sends one request, which states the time left until its deadline, and waits for its answer.
     pub async fn ask(
         mut self,
         command: &Command,
-        until: Instant,
+        deadline: Instant,
         addr: SocketAddr,
-        leave: Leave,
-        written: &Figure,
+        permit: SendPermit,
+        metrics: &Metrics,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
-        let Some(request) = request(command, until, addr) else {
+        let Some(stated) = permit.start(deadline) else {
+            return (Reply::of(Outcome::Ignored), None);
+        };
+        let Some(request) = request(command, stated.left(), addr) else {
             return (Reply::of(Outcome::Ignored), Some(self));
         };
-        if !leave.begin() {
-            return (Reply::of(Outcome::Ignored), None);
-        }
         // The whole request is at hand, and the connection writes it as soon as it has its turn.
-        written.add_one();
-        match self.sender.try_send_request(request).await {
+        metrics.calls.add_one();
+        let answer = self.sender.try_send_request(request).await;
+        match answer {
             // A request that is handed back was never begun.
             Err(mut error) => match error.take_message() {
                 Some(_) => (Reply::of(Outcome::ConnectError), None),
                 None => (Reply::of(Outcome::Reset), None),
             },
-            Ok(answer) => match read(answer, pass).await {
-                Ok(reply) => (reply, Some(self)),
-                // Guards against: the rest of such an answer, read as the next one's.
-                Err(outcome) => (Reply::of(outcome), None),
-            },
+            Ok(answer) => {
+                if let Some(last_byte) = self.last_write.at() {
+                    metrics.deadline_excess.record(stated.excess(last_byte));
+                }
+                match read(answer, pass).await {
+                    Ok(reply) => (reply, Some(self)),
+                    // Guards against: the rest of such an answer, read as the next one's.
+                    Err(outcome) => (Reply::of(outcome), None),
+                }
+            }
         }
     }
 }
@@ -158,14 +169,14 @@
     Ok(Reply::of(Outcome::Ok))
 }
 
-fn request(command: &Command, until: Instant, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
+fn request(command: &Command, left: Duration, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
     let method = if command.value.is_some() { Method::PUT } else { Method::GET };
     Request::builder()
         .method(method)
         .uri(format!("/{}", percent_encode(command.key.as_bytes(), ESCAPED)))
         .header(HOST, addr.to_string())
         .header("X-Correlation-Id", &command.id[..])
-        .header("X-Facts", command.facts_until(until))
+        .header("X-Facts", command.facts_with_wait(left))
         .body(Full::new(command.value.clone().unwrap_or_default()))
         .ok()
 }
--- /dev/null
+++ b/crates/node/src/upstream/send_permit/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+#[tokio::test(start_paused = true)]
+async fn nothing_starts_for_a_client_that_has_gone_and_what_would_is_told_from_what_started_before() {
+    let client = Presence::default();
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let attempt = || {
+        let start = SendStart::default();
+        (SendPermit::new(ServingFlag::new(), client.clone(), start.clone()), start)
+    };
+    let ((before, started), (after, never)) = (attempt(), attempt());
+    assert!(before.start(deadline).is_some());
+    tokio::time::advance(Duration::from_millis(1)).await;
+    client.end();
+    let ended_at = client.ended_at().unwrap();
+    tokio::time::advance(Duration::from_millis(1)).await;
+    client.end(); // again, as by a session that ends after its client
+    assert_eq!(client.ended_at(), Some(ended_at));
+    assert!(after.start(deadline).is_none());
+    assert_eq!([started.is_set(), never.is_set()], [true, false]);
+    assert!(!started.after(ended_at) && started.after(ended_at - Duration::from_millis(2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_starts_once_less_is_left_than_can_be_stated() {
+    let deadline = Instant::now() + Duration::from_millis(300);
+    let start = || {
+        let start = SendStart::default();
+        let permit = SendPermit::new(ServingFlag::new(), Presence::default(), start.clone());
+        (permit.start(deadline).map(|stated| stated.left()), start.is_set())
+    };
+    assert_eq!(start(), (Some(Duration::from_millis(300)), true));
+    tokio::time::advance(Duration::from_millis(299)).await;
+    assert_eq!(start(), (Some(Duration::from_millis(1)), true));
+    tokio::time::advance(Duration::from_micros(1)).await;
+    assert_eq!(start(), (None, false));
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert_eq!(start(), (None, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_stated_exceeds_what_is_left_by_how_long_the_last_byte_takes() {
+    let permit = SendPermit::new(ServingFlag::new(), Presence::default(), SendStart::default());
+    let started = Instant::now();
+    let stated = permit.start(started + Duration::from_secs(1)).unwrap();
+    assert_eq!(stated.excess(started), Duration::ZERO);
+    assert_eq!(stated.excess(started + ANSWER_RESERVE), Duration::ZERO);
+    let last_byte = started + ANSWER_RESERVE + Duration::from_millis(400);
+    assert_eq!(stated.excess(last_byte), Duration::from_millis(400));
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -312,6 +312,7 @@
         settled: event.settled.unwrap_or(false),
         hit: event.detail.filter(|&d| d > 0).map(|d| d == 1),
         utilization: event.pressure.and_then(|p| p.utilization),
+        begun: true, // the wire does not tell
     }))
 }
 
