Take 1,100 nodes and servers wherever lists of them are bounded

Need: no cap below 1,024 on lists of nodes or servers.

Left: the store's 1,000 clients whose last proposal is remembered; it is part of the replicated state, so that members of two versions would differ while it changes.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -40,7 +40,7 @@
 }
 
 /// Publishers of one tier, and all of them.
-const PUBLISHERS: usize = 64;
+const PUBLISHERS: usize = 1_024;
 
 /// What a member and a subscriber are told, each what is its own.
 fn store(store: &Store) -> Result<(), Wrong> {
--- a/crates/store/src/wire/gate.rs
+++ b/crates/store/src/wire/gate.rs
@@ -5,13 +5,14 @@
 
 /// Connections at a time.
 pub const CONNECTIONS: usize = 64;
-/// Subscribers at a time.
-pub const SUBSCRIBERS: usize = 256;
+/// Subscribers at a time: all nodes of a fleet twice over, as when each comes again before its last connection has
+/// ended. Each takes a descriptor and some kilobytes.
+pub const SUBSCRIBERS: usize = 2_048;
 /// So many failures within the time are borne; then the address is not heard until the time is over.
 const FAILURES: u32 = 10;
 const TIME_MS: u64 = 10_000;
 /// Addresses that are remembered.
-const ADDRESSES: usize = 1_000;
+const ADDRESSES: usize = 4_096;
 
 /// Counts connections and failures.
 #[derive(Debug, Default)]
--- a/crates/store/tests/wire.rs
+++ b/crates/store/tests/wire.rs
@@ -110,7 +110,7 @@
     assert_eq!(gate.turned_away, 1 + 37);
     // Subscribers leave their places to others, and have a bound of their own.
     (0..63).for_each(|_| gate.closed());
-    let all = (0..300)
+    let all = (0..SUBSCRIBERS + 44)
         .filter(|_| {
             gate.admit(good, 10_000)
                 && (gate.subscribes() || {
