Detect which nodes are alive, failed, left or unreachable from here

Change: crates/membership, pure: SWIM with Lifeguard's refinements, messages and the time in, messages and events out; authenticated datagrams. Nobody takes another's word for a failure: a node's own last probe decides. Not yet on sockets: nothing of it runs in the node.

Bad input is refused and counted by reason.

--- /dev/null
+++ b/crates/membership/examples/membership_simulate.rs
@@ -0,0 +1,166 @@
+//! Membership in virtual time: many seeds of all cases, and figures at several sizes.
+//!
+//!     cargo run --release -p stonefold-membership --example membership_simulate -- cases 1000
+//!     cargo run --release -p stonefold-membership --example membership_simulate -- table 4 30 300 900
+//!     cargo run --release -p stonefold-membership --example membership_simulate -- hour 4 30 300 900
+
+#[path = "../tests/sim/cases.rs"]
+mod cases;
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use std::process::ExitCode;
+use std::thread;
+use std::time::Instant;
+
+use cases::CASES;
+use sim::{Fleet, MILLISECOND, Network, SECOND};
+use stonefold_membership::{Micros, State};
+
+/// How long figures of the calm are taken over.
+const CALM: Micros = 60 * SECOND;
+/// No size takes longer than this to settle or to detect.
+const PATIENCE: Micros = 600 * SECOND;
+const LOSSES: [f64; 3] = [0.0, 0.1, 0.3];
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let numbers = || arguments[1..].iter().map(|text| text.parse().expect("a number"));
+    match arguments.first().map(String::as_str) {
+        Some("cases") => play_cases(numbers().next().unwrap_or(1_000)),
+        Some("table") => table(&numbers().map(|nodes| nodes as usize).collect::<Vec<_>>()),
+        Some("hour") => hour(&numbers().map(|nodes| nodes as usize).collect::<Vec<_>>()),
+        _ => {
+            eprintln!("cases SEEDS | table NODES ... | hour NODES ...");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all cases with so many seeds, each case on a thread of its own.
+fn play_cases(seeds: u64) -> ExitCode {
+    let play = |case: &'static cases::Case| {
+        let found =
+            |seed| (case.play)(seed, None).into_iter().map(move |what| format!("seed {seed}: {what}"));
+        (0..seeds).flat_map(found).collect::<Vec<String>>()
+    };
+    let wrong: usize = thread::scope(|scope| {
+        let threads: Vec<_> = CASES.iter().map(|case| (case, scope.spawn(move || play(case)))).collect();
+        let results = threads.into_iter().map(|(case, thread)| (case, thread.join().expect("no panic")));
+        results
+            .map(|(case, found)| {
+                println!("{}: {} of {seeds} seeds, {} wrong", case.name, seeds, found.len());
+                found.iter().take(5).for_each(|what| println!("  {what}"));
+                found.len()
+            })
+            .sum()
+    });
+    if wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// One row for each size and loss.
+fn table(sizes: &[usize]) -> ExitCode {
+    println!(
+        "| nodes | loss | all known after s | bytes/s a node | packets/s | us of processor/s | detected s (p50 / p100) \
+         | live failed | healed s |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let rows = sizes.iter().flat_map(|&nodes| LOSSES.map(|loss| (nodes, loss)));
+    for (nodes, loss) in rows {
+        println!("{}", row(nodes, loss));
+    }
+    ExitCode::SUCCESS
+}
+
+fn row(nodes: usize, loss: f64) -> String {
+    let network = Network { loss, ..Network::ROUGH };
+    let mut fleet = Fleet::started(nodes, network, 1, SECOND);
+    let known = fleet.run_until(PATIENCE, Fleet::agreed).map(|took| took + SECOND);
+    fleet.run_for(60 * SECOND);
+    let calm = calm(&mut fleet, nodes);
+    let (median, most) = detect(&mut fleet, nodes / 2);
+    let dead = nodes / 2;
+    let live_failed = fleet.declared_failed(0).iter().filter(|(_, _, of)| *of != dead).count();
+    let healed = heal(nodes, network);
+    let seconds = |time: Option<Micros>| {
+        time.map_or("not".into(), |time| format!("{:.1}", time as f64 / SECOND as f64))
+    };
+    format!(
+        "| {nodes} | {:.0}% | {} | {:.0} | {:.2} | {:.0} | {} / {} | {live_failed} | {} |",
+        loss * 100.0,
+        seconds(known),
+        calm.bytes,
+        calm.packets,
+        calm.processor_us,
+        seconds(median),
+        seconds(most),
+        seconds(healed)
+    )
+}
+
+/// What the calm costs a node and second.
+struct Calm {
+    bytes: f64,
+    packets: f64,
+    processor_us: f64,
+}
+
+fn calm(fleet: &mut Fleet, nodes: usize) -> Calm {
+    let count = |fleet: &Fleet| -> (u64, u64) {
+        fleet.processes.iter().fold((0, 0), |(bytes, packets), p| (bytes + p.bytes, packets + p.packets))
+    };
+    let (before, start) = (count(fleet), Instant::now());
+    fleet.run_for(CALM);
+    let after = count(fleet);
+    let a_node_and_second = |total: u64| total as f64 / nodes as f64 / (CALM / SECOND) as f64;
+    Calm {
+        bytes: a_node_and_second(after.0 - before.0),
+        packets: a_node_and_second(after.1 - before.1),
+        processor_us: a_node_and_second(start.elapsed().as_micros() as u64),
+    }
+}
+
+/// Kills a node; after what time half and all of the others hold it failed.
+fn detect(fleet: &mut Fleet, dead: usize) -> (Option<Micros>, Option<Micros>) {
+    fleet.kill(dead);
+    let start = fleet.now;
+    let failed_at = |fleet: &Fleet, part: f64| {
+        let all = fleet.running().count() as f64;
+        let failed =
+            fleet.running().filter(|(node, _)| fleet.state(*node, dead) == Some(State::Failed)).count();
+        failed as f64 >= all * part
+    };
+    let median = fleet.run_until(PATIENCE, |fleet| failed_at(fleet, 0.5));
+    let most = fleet.run_until(PATIENCE, |fleet| failed_at(fleet, 1.0));
+    (median, most.map(|_| fleet.now - start))
+}
+
+/// Two halves are apart for five minutes; after what time from the heal all views agree.
+fn heal(nodes: usize, network: Network) -> Option<Micros> {
+    let mut fleet = Fleet::started(nodes, network, 2, SECOND);
+    fleet.run_until(PATIENCE, Fleet::agreed)?;
+    let side = move |node: usize| node < nodes / 2;
+    fleet.cut = Box::new(move |from, to| side(from) != side(to));
+    fleet.run_for(300 * SECOND);
+    fleet.cut = Box::new(|_, _| false);
+    fleet.run_until(PATIENCE, Fleet::agreed)
+}
+
+/// An hour at 30% loss and delays to 200 ms: live nodes that were declared failed.
+fn hour(sizes: &[usize]) -> ExitCode {
+    for &nodes in sizes {
+        let start = Instant::now();
+        let mut fleet = Fleet::started(nodes, Network::ROUGH, 3, 120 * SECOND);
+        let since = fleet.now;
+        fleet.run_for(3_600 * SECOND);
+        let failed = fleet.declared_failed(since);
+        println!(
+            "{nodes} nodes, an hour at 30% loss: {} declarations of {} live nodes, in {:.0} s",
+            failed.len(),
+            failed.iter().map(|(_, _, of)| of).collect::<std::collections::BTreeSet<_>>().len(),
+            start.elapsed().as_secs_f64()
+        );
+        failed.iter().take(5).for_each(|(at, by, of)| println!("  at {} ms: {by} of {of}", at / MILLISECOND));
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,33 @@
+//! Which nodes are alive, failed, left, or unreachable from here: failure detection and membership for a fleet of
+//! nodes that share nothing but the network.
+//!
+//! The protocol is SWIM (Das, Gupta, Motivala 2002) with the refinements of Lifeguard (Dadgar, Phillips, Currey
+//! 2017): random probes with indirect ones through others, suspicion that shortens with independent confirmations,
+//! refutation by incarnation, a local health score. Beside them, a digest in each message finds views that differ,
+//! and only a node's own timer, followed by its own last probe, declares a member failed. `docs/design/membership.md`
+//! says why.
+//!
+//! [`Detector`] is the whole of it: messages, timers and the time go in, messages and typed events come out. It does
+//! no I/O and reads no clock; the time is microseconds of one monotonic clock. The same code is driven by sockets
+//! and by a simulation in virtual time. [`Codec`] turns messages into authenticated datagrams.
+#![warn(missing_docs)]
+
+mod codec;
+mod detector;
+mod gossip;
+mod member;
+mod message;
+mod probe;
+mod replay;
+mod settings;
+mod suspicion;
+mod table;
+
+pub use codec::{Codec, CodecError, MAX_DATAGRAM};
+pub use detector::{Counters, Detector, Event, Output};
+pub use member::{Member, MemberId, Profile, Reach, State};
+pub use message::{Body, Claim, Message, Update};
+pub use settings::Settings;
+
+/// A point in time or a duration, in microseconds.
+pub type Micros = u64;
