Take part in a membership of nodes over UDP, off unless configured

Change: [membership] in our TOML (listen, advertise, seeds, cluster, key file, probe interval; loopback alone; refused with place and reason), crates/node/ membership: one task, one socket, events in the log, figures, the operator's MEMBERS. Without the section there is none of it. Keys follow from the store's form of key file. crates/emulator: directed links for datagrams between processes (loss, doubling, delay, cut, changed while they run, all counted). A node that was held for failed is told so when it comes back, which the test of a stopped process showed it was not: its word alone outdated the claim.

--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -3,10 +3,13 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use stonefold_config::{Config as Tree, Layers, LogFormat, Role, Store, load};
+use stonefold_config::{Config as Tree, Layers, LogFormat, Membership, Role, Store, load};
+use stonefold_membership::{Codec, Settings};
 use stonefold_node::config::{Config, Document, DocumentError, Source};
+use stonefold_node::membership::MembershipConfig;
 use stonefold_node::shared::Shared;
 use stonefold_observe::{Format, Logging, Options};
+use stonefold_store::wire::Keys;
 use stonefold_store::{daemon, follower};
 
 use crate::args::NodeArgs;
@@ -14,6 +17,8 @@
 use crate::followed::Followed;
 use crate::shared::{CONFIG, Committed, Stored};
 
+const MICROS_A_MILLISECOND: u64 = 1_000;
+
 /// Our own file, with the layers over it.
 struct File {
     path: PathBuf,
@@ -42,7 +47,7 @@
         return serve(config, &logging(Options::default(), &args)?);
     };
     let layers = Layers::new(Some(path.clone()), args.set.clone());
-    let Tree { log, store, .. } = load(&layers).map_err(Failure::unusable)?.tree;
+    let Tree { node, log, store, membership, .. } = load(&layers).map_err(Failure::unusable)?.tree;
     let format = match log.format {
         LogFormat::Text => Format::Text,
         LogFormat::Json => Format::Json,
@@ -54,6 +59,7 @@
     let mut config = Config::from_source(Source::Document(Box::new(file))).map_err(Failure::unusable)?;
     config.started = started; // before the store, which may wait for others
     config.shared = stored.map(|stored| stored as Arc<dyn Shared>);
+    config.membership = membership.map(|of| take_part(node.name, of)).transpose()?;
     serve(config, &log)
 }
 
@@ -84,6 +90,20 @@
     }
 }
 
+/// How the node takes part in the membership that a file names.
+fn take_part(name: String, of: Membership) -> Result<MembershipConfig, Failure> {
+    let keys = Keys::read(&of.key_file).map_err(Failure::unusable)?;
+    let settings = Settings::with_probe_interval(of.probe_interval.ms() * MICROS_A_MILLISECOND);
+    Ok(MembershipConfig {
+        name,
+        listen: of.listen,
+        advertise: of.advertise,
+        seeds: of.seeds,
+        codec: Codec::new(&of.cluster, &keys.of_membership()),
+        settings,
+    })
+}
+
 fn serve(config: Config, log: &Logging) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     Ok(runtime.block_on(stonefold_node::run(config, log.dropped()))?)
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::tree::{Config, Role, Store};
+use crate::tree::{Config, Membership, Role, Store};
 
 /// A key's path, and what is wrong there.
 pub type Wrong = (String, String);
@@ -82,6 +82,30 @@
     }
 }
 
+/// Addresses of nodes to begin with.
+const SEEDS: usize = 1_024;
+/// The longest name of a node or a cluster, in bytes.
+const NAME: usize = 64;
+
+fn membership(node: &str, of: &Membership) -> Result<(), Wrong> {
+    let addresses = [("membership.listen", Some(of.listen)), ("membership.advertise", of.advertise)];
+    for (field, address) in addresses {
+        if let Some(address) = address.filter(|address| !address.ip().is_loopback()) {
+            return wrong(field, format!("{address} is no loopback address: membership uses those alone"));
+        }
+    }
+    if of.seeds.len() > SEEDS {
+        return wrong("membership.seeds", format!("at most {SEEDS} are taken"));
+    }
+    if of.cluster.is_empty() || of.cluster.len() > NAME {
+        return wrong("membership.cluster", format!("needed: a name of 1 to {NAME} bytes"));
+    }
+    if node.is_empty() || node.len() > NAME {
+        return wrong("node.name", format!("needed by [membership]: a name of 1 to {NAME} bytes"));
+    }
+    Ok(())
+}
+
 impl Check for Config {
     fn check(&self) -> Result<(), Wrong> {
         if self.node.listen.is_none() {
@@ -106,6 +130,9 @@
         if let Some(of) = &self.store {
             store(of)?;
         }
+        if let Some(of) = &self.membership {
+            membership(&self.node.name, of)?;
+        }
         if self.classes.is_empty() {
             return wrong("class", "needed: at least one [[class]] with name, aim, deadline and effect");
         }
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -31,6 +31,9 @@
     /// The store that nodes keep together; none if it is absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub store: Option<Store>,
+    /// The membership of nodes: who is alive, failed, left or unreachable; none if it is absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub membership: Option<Membership>,
     /// Classes of requests; at least one.
     #[serde(rename = "class", skip_serializing_if = "Vec::is_empty")]
     pub classes: Vec<Class>,
@@ -166,6 +169,32 @@
     }
 }
 
+/// The membership of nodes: each finds out which of the others are alive, failed, left or unreachable from here. Changes
+/// of this section take effect at the next start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    /// Where other nodes' datagrams are taken, a loopback address.
+    pub listen: SocketAddr,
+    /// Where others reach that, if it is another address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
+    /// Addresses of nodes to begin with; its own may be among them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seeds: Vec<SocketAddr>,
+    /// The cluster's name: nodes of another one are not heard.
+    pub cluster: String,
+    /// The file of the key that all nodes share, as `stonefold store init` makes it.
+    pub key_file: PathBuf,
+    /// A node probes one other this often; other times follow from it. The same at all nodes.
+    #[serde(default = "probe_interval")]
+    pub probe_interval: Millis<100, 60_000>,
+}
+
+fn probe_interval() -> Millis<100, 60_000> {
+    Millis::new(2 * SECOND)
+}
+
 fn store_wait() -> Millis<0, 60_000> {
     Millis::new(2 * SECOND)
 }
--- a/crates/config/tests/refusals.rs
+++ b/crates/config/tests/refusals.rs
@@ -192,6 +192,31 @@
     assert_eq!(toml::from_str::<Config>(&text).unwrap(), tree);
 }
 
+#[test]
+fn a_membership_is_told_what_it_needs_and_where_it_is_wrong() {
+    let of = |rest: &str| {
+        format!("{GOOD}\n[membership]\nlisten = \"127.0.0.1:1\"\ncluster = \"c\"\nkey_file = \"k\"\n{rest}")
+    };
+    let many: Vec<String> = (1..=1_025).map(|port| format!("\"127.0.0.1:{port}\"")).collect();
+    for (text, key, why) in [
+        (of("listn = 1"), "membership.listn", "`listen`"),
+        (of("probe_interval = \"50ms\""), "membership.probe_interval", "100ms"),
+        (of("advertise = \"10.0.0.1:1\""), "membership.advertise", "no loopback address"),
+        (of("").replace("\"c\"", "\"\""), "membership.cluster", "1 to 64 bytes"),
+        (of("").replace("[node]", &format!("[node]\nname = \"{}\"", "n".repeat(65))), "node.name", "1 to 64"),
+        (of(&format!("seeds = [{}]", many.join(","))), "membership.seeds", "at most 1024"),
+        (of("seeds = [\"x\"]"), "membership.seeds", "invalid socket address"),
+        (of("").replace("key_file = \"k\"", ""), "membership", "key_file"),
+    ] {
+        let told = refused(&text);
+        assert!(told.contains(key) && told.contains(why), "{told}\n  should tell {key:?} and {why:?}");
+    }
+    let (_dir, layers) = layers(&of(&format!("seeds = [{}]", many[..1_024].join(","))));
+    let tree = load::<Config>(&layers).unwrap_or_else(|error| panic!("{error}")).tree;
+    assert!(!tree.to_platform(1).to_string().contains("membership"), "the platform's form has none");
+    assert_eq!(tree.membership.unwrap().seeds.len(), 1_024);
+}
+
 #[test]
 fn the_schema_and_the_example_in_deploy_are_in_step() {
     let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod faults;
 mod http;
+mod links;
 mod load;
 mod lock;
 mod origin;
@@ -23,5 +24,6 @@
 
 pub use clock::Clock;
 pub use error::EmulatorError;
+pub use links::{DatagramLinks, LinkCounts, LinkRule};
 pub use load::{Figures, Load, Summary};
 pub use world::{Emulator, Options};
--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -14,6 +14,7 @@
 use crate::probe::Probe;
 use crate::settings::Settings;
 use crate::table::Table;
+use views::Sender;
 
 /// Updates that go along with a message which is sent for another reason.
 const PIGGYBACKED: usize = 3;
@@ -275,13 +276,16 @@
             entry.last_heard = Some(now);
         }
         self.last_heard = now;
+        // Before its word outdates this: it is told of it all the same.
+        let held = self.held_against(message.from);
         self.hear_sender(&message, now, out);
         let is_record = matches!(message.body, Body::Records);
         for update in message.updates {
             self.hear_claim(update, !is_record, now, out);
         }
         if !self.leaving && !self.superseded {
-            self.answer(now, from, message.from, message.digest, message.body, out);
+            let sender = Sender { id: message.from, address: from, digest: message.digest };
+            self.answer(now, sender, held, message.body, out);
         }
         self.wakeup = self.next_wakeup(now);
     }
--- a/crates/membership/src/detector/views.rs
+++ b/crates/membership/src/detector/views.rs
@@ -11,21 +11,29 @@
 /// Messages with records that one comparison is answered with at most.
 const RECORD_MESSAGES: usize = 3;
 
+/// Who has sent a message.
+pub(super) struct Sender {
+    pub id: MemberId,
+    pub address: SocketAddr,
+    /// Of its view.
+    pub digest: u32,
+}
+
 impl Detector {
-    /// Answers a message whose updates were taken in.
+    /// Answers a message whose updates were taken in. What was held against its sender goes with the answer.
     pub(super) fn answer(
         &mut self,
         now: Micros,
-        at: SocketAddr,
-        from: MemberId,
-        digest: u32,
+        sender: Sender,
+        held: Vec<Update>,
         body: Body,
         out: &mut Vec<Output>,
     ) {
+        let Sender { id: from, address: at, digest } = sender;
         match body {
-            Body::Ping { probe } => {
-                let updates = self.held_against(from);
-                self.send(at, Body::Ack { probe }, updates, out);
+            Body::Ping { probe } => self.send(at, Body::Ack { probe }, held, out),
+            Body::Gossip if held.iter().any(|update| matches!(update.claim, Claim::Failed { .. })) => {
+                self.send(at, Body::Gossip, held, out);
             }
             Body::Ack { probe } => {
                 self.acked(probe, from, now, out);
@@ -48,7 +56,7 @@
     }
 
     /// What this node holds against a sender, which it should refute; and itself, for a sender that is not known.
-    fn held_against(&self, id: MemberId) -> Vec<Update> {
+    pub(super) fn held_against(&self, id: MemberId) -> Vec<Update> {
         let Some(member) = self.member(id) else { return vec![self.own_update()] };
         let by = self.id;
         let claim = match member.state {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -52,6 +52,24 @@
     pub max_members: usize,
 }
 
+impl Settings {
+    /// The defaults, with all that goes by the probe interval scaled to another one.
+    pub fn with_probe_interval(probe_interval: Micros) -> Settings {
+        let default = Settings::default();
+        let scaled = |time: Micros| (time * probe_interval / default.probe_interval).max(MILLISECOND);
+        Settings {
+            probe_interval,
+            ping_timeout: scaled(default.ping_timeout),
+            gossip_interval: scaled(default.gossip_interval),
+            suspicion: scaled(default.suspicion),
+            failed_probe_interval: scaled(default.failed_probe_interval),
+            sync_interval: scaled(default.sync_interval),
+            reach_interval: scaled(default.reach_interval),
+            ..default
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -15,6 +15,7 @@
 
 use crate::bounds::Bounds;
 use crate::handover;
+use crate::membership::MembershipConfig;
 use crate::operator::CALLERS;
 use crate::relay::Budget;
 use crate::shared::Shared;
@@ -49,6 +50,8 @@
     pub started: Instant,
     /// What all nodes keep together, where an installation has that.
     pub shared: Option<Arc<dyn Shared>>,
+    /// How this node takes part in the membership of nodes, where that is on.
+    pub membership: Option<MembershipConfig>,
 }
 
 /// Why a node cannot start.
@@ -250,6 +253,7 @@
             file: Followed { source, value },
             started,
             shared: None,
+            membership: None,
         })
     }
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::error;
 
+use crate::membership::Membership;
 use crate::message::{Control, Message};
 use crate::metrics::Metrics;
 use crate::operator::{self, Call};
@@ -26,6 +27,8 @@
     pub control: mpsc::Sender<Control>,
     pub store: Arc<Kept>,
     pub metrics: Arc<Metrics>,
+    /// Where the membership of nodes is on.
+    pub membership: Option<Membership>,
 }
 
 /// Why an order is not carried out.
@@ -50,6 +53,14 @@
         self.tell(|done| Control::Orders(orders, Some(done))).await
     }
 
+    async fn members(&self) -> String {
+        let Some(membership) = &self.membership else { return "fail membership is off".into() };
+        match timeout(IN_TIME, membership.list()).await.ok().flatten() {
+            Some(list) => list + "eof",
+            None => "fail the membership does not answer".into(),
+        }
+    }
+
     /// Tells the driver something, and waits for its answer as long as an operator may wait for ours.
     async fn tell<T>(&self, control: impl FnOnce(oneshot::Sender<T>) -> Control) -> Result<T, OrderError> {
         let (sender, answer) = oneshot::channel();
@@ -67,6 +78,7 @@
             Call::Ready if self.serving.load(Ordering::Relaxed) => "ok".into(),
             Call::Ready => "fail not serving".into(),
             Call::Stats => self.metrics.text() + "eof",
+            Call::Members => self.members().await,
             Call::Disable(id) => said(self.order(id, true).await),
             Call::Enable(id) => said(self.order(id, false).await),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod handover;
 pub mod hollow;
+pub mod membership;
 mod message;
 mod metrics;
 mod operator;
@@ -35,6 +36,7 @@
 use config::Config;
 use desk::{Desk, follow_kept};
 use driver::{Driver, Wiring};
+use membership::Membership;
 use message::{Control, Terms};
 use metrics::Metrics;
 use orders::{Kept, Orders, Store};
@@ -75,7 +77,7 @@
         Orders::new()
     });
     tokio::spawn(follow_kept(store.clone(), control.clone(), sender.clone()));
-    let operator = config.operator;
+    let (operator, membership) = (config.operator, config.membership.take());
     let (budget, started) = (config.relay_budget(), config.started);
     let file = std::mem::take(&mut config.file);
     let serving = Arc::new(AtomicBool::new(false));
@@ -89,9 +91,18 @@
         control: directions,
     };
     let driver = Driver::new(config, servers_limit, wiring, orders);
+    let membership = membership.map(Membership::start);
+    if let Some(membership) = &membership {
+        metrics.show_membership(membership.figures());
+    }
     if let Some(at) = operator {
-        let desk =
-            Desk { serving: serving.clone(), control: control.clone(), store, metrics: metrics.clone() };
+        let desk = Desk {
+            serving: serving.clone(),
+            control: control.clone(),
+            store,
+            metrics: metrics.clone(),
+            membership: membership.clone(),
+        };
         operator::start(at, desk)?;
     }
     let driver = tokio::spawn(driver.run());
@@ -125,6 +136,9 @@
     // A driver that is gone takes nothing.
     let _ = control.send(Control::Stopping(stopped + plan.answers)).await;
     serving.store(false, Ordering::Relaxed);
+    if let Some(membership) = membership {
+        membership.leave().await;
+    }
     sleep_until(stopped + plan.accepts).await;
     accepting.abort();
     let _ = accepting.await; // our descriptor of the listener is closed with it, the listener only if it is the last
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,6 +13,8 @@
 use hdrhistogram::Histogram;
 use stonefold_observe::Dropped;
 
+use crate::membership::MembershipFigures;
+
 /// The longest time that is told apart, and how many digits of each count.
 const LONGEST: Duration = Duration::from_secs(60);
 const DIGITS: u8 = 2;
@@ -28,7 +30,7 @@
     pub fn set(&self, value: usize) {
         self.0.store(value as u64, Ordering::Relaxed);
     }
-    fn get(&self) -> u64 {
+    pub fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 }
@@ -96,6 +98,8 @@
     log: Dropped,
     /// From the start of the process until it served.
     ready: OnceLock<Duration>,
+    /// Where the membership of nodes is on.
+    membership: OnceLock<Arc<MembershipFigures>>,
 }
 
 impl Metrics {
@@ -109,6 +113,11 @@
         let _ = self.ready.set(took);
     }
 
+    /// The figures of the membership, which are shown from now on. Said again, it changes nothing.
+    pub fn show_membership(&self, figures: Arc<MembershipFigures>) {
+        let _ = self.membership.set(figures);
+    }
+
     /// The counts of a class, which are shown from now on.
     pub fn class(&self, name: &str) -> Arc<Outcomes> {
         let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -161,6 +170,9 @@
             head(&mut text, "svc_ready_seconds", "gauge");
             let _ = writeln!(text, "svc_ready_seconds {:.3}", took.as_secs_f64());
         }
+        if let Some(membership) = self.membership.get() {
+            membership.text(&mut text);
+        }
         text
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -33,6 +33,8 @@
     Ready,
     /// The figures.
     Stats,
+    /// The members of the fleet, as this node knows them.
+    Members,
     /// Nothing more to this server.
     Disable(String),
     /// Back in use.
@@ -69,9 +71,10 @@
             [] => Err(CallError::Empty),
             ["READY"] => Ok(Call::Ready),
             ["STATS"] => Ok(Call::Stats),
+            ["MEMBERS"] => Ok(Call::Members),
             ["DISABLE", id] => Ok(Call::Disable(id.into())),
             ["ENABLE", id] => Ok(Call::Enable(id.into())),
-            ["READY" | "STATS" | "DISABLE" | "ENABLE", ..] => Err(CallError::Arguments),
+            ["READY" | "STATS" | "MEMBERS" | "DISABLE" | "ENABLE", ..] => Err(CallError::Arguments),
             _ => Err(CallError::Unknown),
         }
     }
--- a/crates/store/src/wire/keys.rs
+++ b/crates/store/src/wire/keys.rs
@@ -142,6 +142,12 @@
         Keys(self.0.iter().map(|key| key.derive(&[b"stonefold subscriber"])).collect())
     }
 
+    /// Keys for the nodes' membership, which follow from these, and from which these don't: as bytes, the first of which
+    /// is used.
+    pub fn of_membership(&self) -> Vec<[u8; 32]> {
+        self.0.iter().map(|key| key.derive(&[b"stonefold membership"]).0).collect()
+    }
+
     /// Writes a new file with the keys of subscribers, for its owner alone.
     ///
     /// # Errors
