Name the node's parts by the field's terms, and tell a returned node that it was failed

Need: names of an earlier house style (Desk, Kept, books, told, obey, brain, places), a circle between orders and shared state, and a fault in membership.

Cause: held claims went with answers to pings alone (detector/views.rs). A first mend answered any message, and two nodes that held each other failed answered each other without end (a run of the simulation did not end); now a node is told once, when it has just returned.

Change: operator_handler and order_store in place of desk; orders no longer knows shared state; driver's messages, timers and actions by their usual names; open_request; the policy files balancer.rs and admission.rs (was brain.rs, places.rs). No decision changed by this.

--- a/crates/balancer/src/places.rs
+++ b/crates/balancer/src/admission.rs
@@ -1,4 +1,4 @@
-//! Places at the caches and at the origin: who gets one, who waits for one, who is given up.
+//! Admission to the caches and to the origin: who is sent at once, who waits, who is given up.
 
 use super::*;
 
--- a/crates/balancer/src/brain.rs
+++ b/crates/balancer/src/balancer.rs
@@ -14,10 +14,10 @@
 use crate::api::*;
 use crate::state::*;
 
+#[path = "admission.rs"]
+mod admission;
 #[path = "health.rs"]
 mod health;
-#[path = "places.rs"]
-mod places;
 
 /// Caches in a key's candidate set.
 const SET: usize = 3;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -21,12 +21,12 @@
 #![warn(missing_docs)]
 
 mod api;
-mod brain;
+mod balancer;
 pub mod setup;
 mod state;
 
 pub use api::*;
-pub use brain::Balancer;
+pub use balancer::Balancer;
 
 /// The README's example, compiled and run as a test.
 #[cfg(doctest)]
--- a/crates/membership/src/detector/views.rs
+++ b/crates/membership/src/detector/views.rs
@@ -30,11 +30,14 @@
         out: &mut Vec<Output>,
     ) {
         let Sender { id: from, address: at, digest } = sender;
+        // It has just returned by its own word: it is told once what was held against it.
+        let was_failed = held.iter().any(|update| matches!(update.claim, Claim::Failed { .. }));
+        let returned = was_failed && self.member(from).is_some_and(|member| member.state != State::Failed);
+        if returned && !matches!(body, Body::Ping { .. }) {
+            self.send(at, Body::Gossip, held.clone(), out);
+        }
         match body {
             Body::Ping { probe } => self.send(at, Body::Ack { probe }, held, out),
-            Body::Gossip if held.iter().any(|update| matches!(update.claim, Claim::Failed { .. })) => {
-                self.send(at, Body::Gossip, held, out);
-            }
             Body::Ack { probe } => {
                 self.acked(probe, from, now, out);
                 self.pass_on(probe, out);
--- a/crates/membership/tests/sim/cases.rs
+++ b/crates/membership/tests/sim/cases.rs
@@ -90,6 +90,13 @@
             }
         }
     }
+    let failed = !fleet.declared_failed(start).is_empty();
+    let learned = |(_, node, event): &(Micros, usize, Event)| {
+        *node == 1 && matches!(event, Event::DeclaredFailed { .. })
+    };
+    if failed && !fleet.events.iter().any(learned) {
+        found.push("the node that was failed does not learn of it".into());
+    }
     // All are stopped at once, as on a machine that sleeps.
     (0..fleet.processes.len()).for_each(|node| fleet.pause(node, 20 * SECOND));
     let since = fleet.now;
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use tracing::trace;
 
-use super::books::{Open, Running};
+use super::open_request::{Open, Running};
 use super::{Driver, Due};
 use crate::message::{Ended, Message};
 use crate::relay::{Pass, Stream};
@@ -29,7 +29,7 @@
             // Word of it waits in the inbox, behind what made the module send.
             open.attempts.push(None);
             self.gone(id);
-            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+            return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         }
         let place =
             self.directory.check_out(server, now, open.client.clone(), start).filter(|(_, pooled)| {
@@ -42,7 +42,7 @@
             });
         let Some((target, pooled)) = place else {
             open.attempts.push(None);
-            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+            return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
         trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
@@ -94,7 +94,7 @@
         if let Some(timer) = running.timer.filter(|_| outcome != Outcome::TimedOut) {
             self.timers.try_remove(&timer);
         }
-        self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
+        self.report_end(id, attempt, outcome, running.sent.elapsed(), None);
     }
 
     /// Stops what of an ended request is not yet written: nobody waits for it, and it never ran, so that this
@@ -126,7 +126,7 @@
         }
         // How long a long value takes tells of its length and its client, not of the server.
         let elapsed = running.coming.unwrap_or_else(|| running.sent.elapsed());
-        self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
+        self.report_end(id, attempt, reply.outcome, elapsed, reply.hit);
         self.stop_unwritten(id);
     }
 
@@ -151,7 +151,7 @@
         }
     }
 
-    fn tell_end(
+    fn report_end(
         &mut self,
         id: RequestId,
         attempt: usize,
@@ -171,6 +171,6 @@
         }
         let end = AttemptEnd { elapsed, settled, hit, begun, ..AttemptEnd::new(id, attempt, outcome) };
         self.events.push_back(Event::Outcome(end));
-        self.close_if_done(id);
+        self.remove_if_done(id);
     }
 }
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the module, the open requests and the timers.
 
 mod attempts;
-mod books;
+mod open_request;
 
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
@@ -20,7 +20,7 @@
 use tokio_util::time::DelayQueue;
 use tracing::{debug, info};
 
-use books::{Clock, Open};
+use open_request::{Clock, Open};
 
 use crate::config::Config;
 use crate::message::{Arrival, Control, Message, Surplus, Terms};
@@ -115,7 +115,7 @@
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.count_later();
-        driver.obey(orders);
+        driver.apply_orders(orders);
         let known = List { full: true, ..config.known };
         if driver.ledger.as_mut().is_none_or(|ledger| ledger.enter(&known)) {
             driver.list(known);
@@ -135,10 +135,10 @@
     pub async fn step(&mut self) -> bool {
         tokio::select! {
             biased;
-            Some(control) = self.control.recv() => self.directed(control),
-            Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
+            Some(control) = self.control.recv() => self.on_control(control),
+            Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.on_timer(due.into_inner()),
             message = self.inbox.recv() => match message {
-                Some(message) => self.told(message),
+                Some(message) => self.on_message(message),
                 None => return false,
             },
         }
@@ -148,7 +148,7 @@
 
     /// Takes a message at once, and does what follows from it.
     pub fn take(&mut self, message: Message) {
-        self.told(message);
+        self.on_message(message);
         self.decide();
     }
 
@@ -162,7 +162,7 @@
         self.balancer.stock()
     }
 
-    fn directed(&mut self, control: Control) {
+    fn on_control(&mut self, control: Control) {
         match control {
             Control::Stopping(at) => {
                 let left = at.saturating_duration_since(Instant::now()).as_micros() as Micros;
@@ -171,12 +171,12 @@
             // Who asked may have left.
             Control::Known(name, answer) => _ = answer.send(self.directory.knows(&name)),
             Control::Reload(stated, answer) => {
-                let terms = self.setup.followed_by(*stated).map(|setup| self.turn_to(setup));
+                let terms = self.setup.followed_by(*stated).map(|setup| self.apply_settings(setup));
                 self.decide();
                 let _ = answer.send(terms);
             }
             Control::Orders(orders, done) => {
-                self.obey(orders);
+                self.apply_orders(orders);
                 self.decide();
                 let _ = done.map(|done| done.send(()));
             }
@@ -184,7 +184,7 @@
     }
 
     /// Goes by new settings. Requests that are open keep the rules they arrived under.
-    fn turn_to(&mut self, setup: Setup) -> Terms {
+    fn apply_settings(&mut self, setup: Setup) -> Terms {
         self.setup = setup;
         let settings = &self.setup.settings;
         self.directory.set_keepalive(Duration::from_micros(settings.keepalive));
@@ -193,7 +193,7 @@
     }
 
     /// Brings into force what differs from the orders so far.
-    fn obey(&mut self, orders: Orders) {
+    fn apply_orders(&mut self, orders: Orders) {
         for (name, order) in &orders {
             let before = self.orders.get(name);
             if before == Some(order) {
@@ -215,7 +215,7 @@
         self.orders = orders;
     }
 
-    fn told(&mut self, message: Message) {
+    fn on_message(&mut self, message: Message) {
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Surplus(surplus) => self.refuse(surplus),
@@ -232,7 +232,7 @@
         }
     }
 
-    fn due(&mut self, due: Due) {
+    fn on_timer(&mut self, due: Due) {
         match due {
             Due::Module(token) => self.events.push_back(Event::Timer(token)),
             Due::Attempt(id, attempt) => self.give_up(id, attempt, Outcome::TimedOut),
@@ -253,12 +253,12 @@
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.balancer.on_event(self.clock.now(), event, &mut actions);
-            actions.drain(..).for_each(|action| self.carry_out(action));
+            actions.drain(..).for_each(|action| self.execute(action));
             self.actions = actions;
         }
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn execute(&mut self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, Duration::from_micros(timeout)),
             Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Canceled),
@@ -336,7 +336,7 @@
             }
             self.events.push_back(Event::ClientGone(id));
             self.stop_unwritten(id);
-            self.close_if_done(id);
+            self.remove_if_done(id);
         }
     }
 
@@ -344,7 +344,7 @@
     fn end(&mut self, id: RequestId, answer: Answer) {
         self.answer(id, answer);
         self.stop_unwritten(id);
-        self.close_if_done(id);
+        self.remove_if_done(id);
     }
 
     /// The final answer; a second one goes nowhere.
@@ -364,7 +364,7 @@
         }
     }
 
-    fn close_if_done(&mut self, id: RequestId) {
+    fn remove_if_done(&mut self, id: RequestId) {
         let done = |open: &Open| open.answer.is_none() && open.attempts.iter().all(Option::is_none);
         if self.open.get(&id).is_some_and(done) {
             self.open.remove(&id);
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -10,11 +10,11 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
-use crate::desk::follow_kept;
 use crate::driver::{Driver, Wiring};
 use crate::message::{Message, Terms};
 use crate::metrics::Metrics;
-use crate::orders::{Kept, Orders, Store};
+use crate::order_store::{self, OrderStore};
+use crate::orders::{OrderFile, Orders};
 use crate::{CONTROLS, discovery};
 
 /// What a node goes by: at its start, and right after it took over a list.
@@ -47,7 +47,7 @@
     let (_terms, terms) = watch::channel(Terms::of(&config.setup));
     let watching = discovery::Watch::new(subscribe.clone(), known, terms, config.seed, to_driver);
     let (control, directions) = mpsc::channel(CONTROLS);
-    let store = Arc::new(Kept::File(Store::of_node()));
+    let store = Arc::new(OrderStore::File(OrderFile::of_node()));
     store.changed();
     config.file = Default::default();
     let version = config.known.version;
@@ -62,7 +62,8 @@
     };
     let limit = config.server_connections();
     let mut driver = Driver::new(config, limit, wiring, store.load().unwrap_or_else(|_| Orders::new()));
-    let _following = AbortOnDropHandle::new(tokio::spawn(follow_kept(store, control, sender.clone())));
+    let _following =
+        AbortOnDropHandle::new(tokio::spawn(order_store::follow(store, control, sender.clone())));
     let _watching = AbortOnDropHandle::new(tokio::spawn(watching.run(address)));
     acted(Acted { version, driver: &driver });
     loop {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,6 @@
 mod bounds;
 mod clients;
 pub mod config;
-mod desk;
 mod discovery;
 mod driver;
 mod handover;
@@ -12,6 +11,8 @@
 mod message;
 mod metrics;
 mod operator;
+mod operator_handler;
+mod order_store;
 pub mod orders;
 mod peek;
 mod presence;
@@ -34,12 +35,13 @@
 use tracing::{error, info};
 
 use config::Config;
-use desk::{Desk, follow_kept};
 use driver::{Driver, Wiring};
 use membership::Membership;
 use message::{Control, Terms};
 use metrics::Metrics;
-use orders::{Kept, Orders, Store};
+use operator_handler::OperatorHandler;
+use order_store::OrderStore;
+use orders::{OrderFile, Orders};
 use reload::Follower;
 use stopping::Plan;
 
@@ -70,13 +72,14 @@
     let metrics = Arc::new(Metrics::new(log));
     terms.borrow().classes.iter().for_each(|class| _ = metrics.class(class));
     let (control, directions) = mpsc::channel(CONTROLS);
-    let store = Arc::new(shared.clone().map_or_else(|| Kept::File(Store::of_node()), Kept::Shared));
+    let in_file = || OrderStore::File(OrderFile::of_node());
+    let store = Arc::new(shared.clone().map_or_else(in_file, OrderStore::Shared));
     store.changed();
     let orders = store.load().unwrap_or_else(|error| {
         error!(event = "orders_unreadable", %error, "no orders are in force");
         Orders::new()
     });
-    tokio::spawn(follow_kept(store.clone(), control.clone(), sender.clone()));
+    tokio::spawn(order_store::follow(store.clone(), control.clone(), sender.clone()));
     let (operator, membership) = (config.operator, config.membership.take());
     let (budget, started) = (config.relay_budget(), config.started);
     let file = std::mem::take(&mut config.file);
@@ -96,14 +99,14 @@
         metrics.show_membership(membership.figures());
     }
     if let Some(at) = operator {
-        let desk = Desk {
+        let handler = OperatorHandler {
             serving: serving.clone(),
             control: control.clone(),
             store,
             metrics: metrics.clone(),
             membership: membership.clone(),
         };
-        operator::start(at, desk)?;
+        operator::start(at, handler)?;
     }
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,7 +1,7 @@
 //! Where operators call: one line in, one answer out, whatever the load.
 //!
 //! It runs on a thread of its own, so that no answer waits for its turn behind requests. Of the node it
-//! holds only what can be read or told without waiting for long; see [`Desk`].
+//! holds only what can be read or told without waiting for long; see [`CallHandler`].
 
 use std::collections::VecDeque;
 use std::future::Future;
@@ -81,19 +81,19 @@
 }
 
 /// Who answers the calls.
-pub trait Desk: Send + Sync + 'static {
+pub trait CallHandler: Send + Sync + 'static {
     /// The whole answer, without the last end of line.
     fn answer(&self, call: Call) -> impl Future<Output = String> + Send;
 }
 
 /// Starts the thread that serves operators until the process ends.
-pub fn start(at: SocketAddr, desk: impl Desk) -> io::Result<()> {
+pub fn start(at: SocketAddr, handler: impl CallHandler) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let serve = move || runtime.block_on(serve(at, Arc::new(desk)));
+    let serve = move || runtime.block_on(serve(at, Arc::new(handler)));
     thread::Builder::new().name("operator".into()).stack_size(256 << 10).spawn(serve).map(drop)
 }
 
-async fn serve(at: SocketAddr, desk: Arc<impl Desk>) {
+async fn serve(at: SocketAddr, handler: Arc<impl CallHandler>) {
     let mut complained = false;
     // Guards against: an end, or a node that nobody can call, while a predecessor still has the address.
     let listener = loop {
@@ -110,10 +110,10 @@
     if let Ok(at) = listener.local_addr() {
         info!(event = "operator_listening", %at, "operators are served");
     }
-    attend(listener, desk).await;
+    accept_calls(listener, handler).await;
 }
 
-async fn attend(listener: TcpListener, desk: Arc<impl Desk>) {
+async fn accept_calls(listener: TcpListener, handler: Arc<impl CallHandler>) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -129,22 +129,22 @@
         while callers.len() >= CALLERS {
             callers.pop_front().inspect(AbortHandle::abort);
         }
-        let desk = desk.clone();
+        let handler = handler.clone();
         // A caller who breaks off is nobody's trouble.
-        let caller = tokio::spawn(async move { timeout(PATIENCE, hear(stream, &*desk)).await });
+        let caller = tokio::spawn(async move { timeout(PATIENCE, answer_call(stream, &*handler)).await });
         callers.push_back(caller.abort_handle());
     }
 }
 
 /// One call and its answer.
-async fn hear(stream: TcpStream, desk: &impl Desk) -> io::Result<()> {
+async fn answer_call(stream: TcpStream, handler: &impl CallHandler) -> io::Result<()> {
     let mut stream = BufReader::with_capacity(LINE as usize, stream);
     let mut line = Vec::new();
     (&mut stream).take(LINE).read_until(b'\n', &mut line).await?;
     let mut answer = match Call::parse(&line) {
         Ok(call) => {
             let span = info_span!("call", ?call);
-            desk.answer(call).instrument(span).await
+            handler.answer(call).instrument(span).await
         }
         Err(error) => format!("fail {error}"),
     };
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -1,20 +1,15 @@
-//! What outlives a process: the orders that operators gave for servers.
-//!
-//! Everything beyond this module sees [`Kept`]; where the orders are kept is this module's alone: a small file which
-//! all processes of a node share, or what all nodes keep together.
+//! The orders that operators gave for servers, and the small file that keeps them: all processes of a node share it.
 
 use std::collections::BTreeMap;
 use std::env;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
 
 use serde::{Deserialize, Serialize};
 
-use crate::shared::Shared;
-
 /// The form of the file. One of another version is not read.
 const VERSION: u32 = 1;
 /// An order that put a server back is forgotten after this time, in ms: it is warm by then.
@@ -68,71 +63,22 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 struct Stamp(SystemTime, u64, u64);
 
-/// Where orders are kept.
-pub enum Kept {
-    /// A file of this machine.
-    File(Store),
-    /// What all nodes keep together.
-    Shared(Arc<dyn Shared>),
-}
-
-impl Kept {
-    /// The orders as they are kept now.
-    pub fn load(&self) -> Result<Orders, StateError> {
-        match self {
-            Kept::File(store) => store.load(),
-            Kept::Shared(shared) => Ok(shared.orders()),
-        }
-    }
-
-    /// Whether the orders may have changed since this was last asked.
-    pub fn changed(&self) -> bool {
-        match self {
-            Kept::File(store) => store.changed(),
-            Kept::Shared(shared) => shared.changed(),
-        }
-    }
-
-    /// Orders a server out of use or back, durably; tells the orders as they are then.
-    pub async fn order(&self, id: String, out: bool) -> Result<Orders, StateError> {
-        let order = Order { out, since_ms: now_ms() };
-        match self {
-            Kept::File(store) => store.change(|orders| {
-                if changes(orders, &id, out) {
-                    orders.insert(id, order);
-                }
-            }),
-            Kept::Shared(shared) => {
-                if changes(&shared.orders(), &id, out) {
-                    shared.order(id, order).await.map_err(StateError::Shared)?;
-                }
-                Ok(shared.orders())
-            }
-        }
-    }
-}
-
-/// Whether an order says anything new; one that was given before stands as it was.
-fn changes(orders: &Orders, id: &str, out: bool) -> bool {
-    orders.get(id).map_or(out, |order| order.out != out)
-}
-
 /// The file of a node's orders.
-pub struct Store {
+pub struct OrderFile {
     dir: Option<PathBuf>,
     seen: Mutex<Option<Stamp>>,
     /// The orders as they were last read or written.
     last: Mutex<Orders>,
 }
 
-impl Store {
-    /// The store of this node: in `$TMPDIR`, which all its processes share.
-    pub fn of_node() -> Store {
-        Store::at(env::var_os("TMPDIR").map(PathBuf::from))
+impl OrderFile {
+    /// The file of this node: in `$TMPDIR`, which all its processes share.
+    pub fn of_node() -> OrderFile {
+        OrderFile::at(env::var_os("TMPDIR").map(PathBuf::from))
     }
 
-    fn at(dir: Option<PathBuf>) -> Store {
-        Store { dir, seen: Mutex::default(), last: Mutex::default() }
+    fn at(dir: Option<PathBuf>) -> OrderFile {
+        OrderFile { dir, seen: Mutex::default(), last: Mutex::default() }
     }
 
     fn dir(&self) -> Result<&Path, StateError> {
@@ -167,7 +113,7 @@
     }
 
     /// Changes the orders, durably; tells them as they are then. What is kept and can't be read is set aside,
-    /// and the orders as this store last saw them take its place.
+    /// and the orders as they were last seen here take its place.
     pub fn change(&self, change: impl FnOnce(&mut Orders)) -> Result<Orders, StateError> {
         let dir = self.dir()?;
         let path = Self::path(dir);
--- a/crates/node/src/orders/tests.rs
+++ b/crates/node/src/orders/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn store(dir: &tempfile::TempDir) -> Store {
-    Store::at(Some(dir.path().into()))
+fn store(dir: &tempfile::TempDir) -> OrderFile {
+    OrderFile::at(Some(dir.path().into()))
 }
 
 fn out(orders: &mut Orders, id: &str) {
@@ -27,7 +27,7 @@
         let dir = tempfile::tempdir().unwrap();
         let store = store(&dir);
         store.change(|orders| out(orders, "s-1")).unwrap();
-        fs::write(Store::path(dir.path()), text).unwrap();
+        fs::write(OrderFile::path(dir.path()), text).unwrap();
         assert!(store.load().is_err(), "{text:?}");
         let orders = store.change(|orders| out(orders, "s-2")).unwrap();
         assert_eq!(orders.len(), 2);
@@ -38,7 +38,7 @@
 
 #[test]
 fn without_a_place_nothing_is_promised() {
-    let store = Store::at(None);
+    let store = OrderFile::at(None);
     assert!(matches!(store.change(|_| {}), Err(StateError::NoPlace)));
 }
 
