--- a/crates/membership/tests/hostile.rs
+++ b/crates/membership/tests/hostile.rs
@@ -158,3 +158,21 @@
         }
     }
 }
+
+#[test]
+fn a_member_that_returns_by_its_own_word_is_told_that_it_was_failed() {
+    let mut detector = detector(Settings::default());
+    let claim = Claim::Failed { by: MemberId::of("third"), profile: profile("other", 9) };
+    let failed = Update { id: MemberId::of("other"), incarnation: START_MS, claim };
+    let third = Message { from: MemberId::of("third"), ..message(1, vec![failed]) };
+    tell(&mut detector, third);
+    let body = Body::Ack { probe: 7 };
+    let out = tell(&mut detector, Message { body, incarnation: START_MS + 1, ..message(1, vec![]) });
+    let told = out.iter().any(|output| match output {
+        Output::Send { message, .. } => {
+            message.updates.iter().any(|update| matches!(update.claim, Claim::Failed { .. }))
+        }
+        Output::Event(_) => false,
+    });
+    assert!(told, "{out:?}");
+}
