Tell a returned node that it was failed until it has surely heard

Cause: a node that was failed while it was stopped returned mostly without being told: the claim was sent once, while its socket was still full of what had come meanwhile (sends traced at all others, none received; that the buffer is why is inferred).

--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -1,3 +1,5 @@
+//! `stonefold node`: reads the configuration, starts what it names beside the node (store, membership), and serves.
+
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/membership/src/detector/claims.rs
+++ b/crates/membership/src/detector/claims.rs
@@ -124,6 +124,10 @@
         let since = if old.state == State::Alive && !restarted { old.since } else { now };
         self.end_suspicion(id);
         self.table.set(id, Member { profile, incarnation, state: State::Alive, since, reach });
+        if let Some(entry) = self.table.get_mut(id) {
+            let returned = old.state == State::Failed && !restarted;
+            entry.untold_failure = returned.then_some((old.incarnation, self.settings.transmissions));
+        }
         let event = match old.state {
             _ if restarted && old.state != State::Left => Event::Restarted { name },
             State::Failed | State::Left => Event::Returned { name },
--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -276,8 +276,6 @@
             entry.last_heard = Some(now);
         }
         self.last_heard = now;
-        // Before its word outdates this: it is told of it all the same.
-        let held = self.held_against(message.from);
         self.hear_sender(&message, now, out);
         let is_record = matches!(message.body, Body::Records);
         for update in message.updates {
@@ -285,7 +283,7 @@
         }
         if !self.leaving && !self.superseded {
             let sender = Sender { id: message.from, address: from, digest: message.digest };
-            self.answer(now, sender, held, message.body, out);
+            self.answer(now, sender, message.body, out);
         }
         self.wakeup = self.next_wakeup(now);
     }
--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -105,14 +105,7 @@
 
     /// A ping says what is held against its target, so that it can refute that at once.
     fn ping(&mut self, probe: u32, target: MemberId, out: &mut Vec<Output>) {
-        let Some(entry) = self.table.get(target) else { return };
-        let (incarnation, by) = (entry.member.incarnation, self.id);
-        let claim = match entry.member.state {
-            State::Suspect => Some(Claim::Suspect { by }),
-            State::Failed => Some(Claim::Failed { by, profile: entry.member.profile.clone() }),
-            State::Alive | State::Left => None,
-        };
-        let updates = claim.map(|claim| Update { id: target, incarnation, claim }).into_iter().collect();
+        let updates = self.held_against(target);
         self.send_to(target, Body::Ping { probe }, updates, out);
     }
 
--- a/crates/membership/src/detector/views.rs
+++ b/crates/membership/src/detector/views.rs
@@ -21,23 +21,13 @@
 
 impl Detector {
     /// Answers a message whose updates were taken in. What was held against its sender goes with the answer.
-    pub(super) fn answer(
-        &mut self,
-        now: Micros,
-        sender: Sender,
-        held: Vec<Update>,
-        body: Body,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn answer(&mut self, now: Micros, sender: Sender, body: Body, out: &mut Vec<Output>) {
         let Sender { id: from, address: at, digest } = sender;
-        // It has just returned by its own word: it is told once what was held against it.
-        let was_failed = held.iter().any(|update| matches!(update.claim, Claim::Failed { .. }));
-        let returned = was_failed && self.member(from).is_some_and(|member| member.state != State::Failed);
-        if returned && !matches!(body, Body::Ping { .. }) {
-            self.send(at, Body::Gossip, held.clone(), out);
-        }
         match body {
-            Body::Ping { probe } => self.send(at, Body::Ack { probe }, held, out),
+            Body::Ping { probe } => {
+                let held = self.held_against(from);
+                self.send(at, Body::Ack { probe }, held, out);
+            }
             Body::Ack { probe } => {
                 self.acked(probe, from, now, out);
                 self.pass_on(probe, out);
@@ -58,16 +48,24 @@
         }
     }
 
-    /// What this node holds against a sender, which it should refute; and itself, for a sender that is not known.
-    pub(super) fn held_against(&self, id: MemberId) -> Vec<Update> {
-        let Some(member) = self.member(id) else { return vec![self.own_update()] };
-        let by = self.id;
-        let claim = match member.state {
-            State::Suspect => Claim::Suspect { by },
-            State::Failed => Claim::Failed { by, profile: member.profile.clone() },
-            State::Alive | State::Left => return Vec::new(),
+    /// What this node holds against a member, which it should refute or know; and itself, for one that is not known.
+    ///
+    /// That it was failed is said again for a while after it has returned: datagrams get lost, and most of all at a
+    /// process that was stopped and whose socket is full.
+    pub(super) fn held_against(&mut self, id: MemberId) -> Vec<Update> {
+        let (by, own) = (self.id, self.own_update());
+        let Some(entry) = self.table.get_mut(id) else { return vec![own] };
+        let profile = entry.member.profile.clone();
+        let (incarnation, claim) = match (entry.member.state, &mut entry.untold_failure) {
+            (State::Suspect, _) => (entry.member.incarnation, Claim::Suspect { by }),
+            (State::Failed, _) => (entry.member.incarnation, Claim::Failed { by, profile }),
+            (State::Alive, Some((incarnation, times))) if *times > 0 => {
+                *times -= 1;
+                (*incarnation, Claim::Failed { by, profile })
+            }
+            (State::Alive | State::Left, _) => return Vec::new(),
         };
-        vec![Update { id, incarnation: member.incarnation, claim }]
+        vec![Update { id, incarnation, claim }]
     }
 
     /// A hash of the whole view.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -19,6 +19,8 @@
     pub member: Member,
     pub suspicion: Option<Suspicion>,
     pub replay: ReplayWindow,
+    /// The incarnation under which it was failed before it returned, and how often it is still told so.
+    pub untold_failure: Option<(u64, u32)>,
     /// When a message last came from it.
     pub last_heard: Option<Micros>,
     /// Probes in a row that others alone have answered.
@@ -33,6 +35,7 @@
             member,
             suspicion: None,
             replay: ReplayWindow::default(),
+            untold_failure: None,
             last_heard: None,
             direct_misses: 0,
             reach_reported: None,
