Log and count stalls of the event loop and connections that end with answers owed

Need: the incident's record tells neither that a node stood still nor why a connection ended. A request's log line has its wait, since when it is counted and how long it may have waited. Connections that end with answers owed are counted by who ended them, the reason is typed. Nothing is decided by it yet.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -27,6 +27,7 @@
 use crate::message::{Message, Terms};
 use crate::metrics::Metrics;
 use crate::relay::Budget;
+use crate::stall::StallMonitor;
 
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
@@ -59,21 +60,41 @@
     closing: Closing,
     sessions: TaskTracker,
     metrics: Arc<Metrics>,
+    stalls: StallMonitor,
+}
+
+/// What the clients' side is given by the other parts of the node.
+pub struct Wiring {
+    pub to: UnboundedSender<Message>,
+    pub bounds: Bounds,
+    pub terms: watch::Receiver<Terms>,
+    pub closing: Closing,
+    pub sessions: TaskTracker,
+    pub metrics: Arc<Metrics>,
+    pub budget: Budget,
+    pub stalls: StallMonitor,
 }
 
 impl Clients {
-    pub fn new(
-        to: UnboundedSender<Message>,
-        bounds: Bounds,
-        terms: watch::Receiver<Terms>,
-        closing: Closing,
-        sessions: TaskTracker,
-        metrics: Arc<Metrics>,
-        budget: Budget,
-    ) -> Self {
+    pub fn new(wiring: Wiring) -> Self {
+        let Wiring { to, bounds, terms, closing, sessions, metrics, budget, stalls } = wiring;
         let idle = Arc::new(IdleConnections::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
-        Clients { to, bounds, terms, idle, left, next_id, open_ids, held, budget, closing, sessions, metrics }
+        Clients {
+            to,
+            bounds,
+            terms,
+            idle,
+            left,
+            next_id,
+            open_ids,
+            held,
+            budget,
+            closing,
+            sessions,
+            metrics,
+            stalls,
+        }
     }
 
     /// Takes connections until it is aborted.
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
-use tracing::trace;
+use tracing::{debug, trace};
 
 use super::Clients;
 use super::absent::{UnreadSince, gone, linger, unless_gone};
@@ -47,6 +47,21 @@
 /// A client that can't be understood is owed an error or a close within 3 s.
 const _: () = assert!(PATIENCE.as_millis() < 3_000 && PARTING.as_millis() < 3_000);
 
+/// Why a client's connection ended, where that was no error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The client closed it, or its sending side.
+    ClosedByClient,
+    /// The node is to stop, and nothing is owed.
+    Stopping,
+    /// After a malformed frame.
+    Malformed,
+    /// Nothing good came for too long.
+    Silent,
+    /// Its place was needed for another.
+    Evicted,
+}
+
 pub struct Session {
     shared: Clients,
     presence: Presence,
@@ -99,14 +114,7 @@
         let ended = self.serve(&mut stream).await;
         self.presence.end();
         let left = self.owed.is_empty() && ended.is_ok();
-        trace!(
-            event = "client_left",
-            owed = self.owed.len(),
-            unread = self.buffer.len(),
-            ?ended,
-            stopping = self.shared.closing.used.is_cancelled(),
-            "a client's connection is closed"
-        );
+        self.note_ending(&ended);
         for owed in self.owed.drain(..) {
             if let Owed::Waiting(pending) = owed {
                 let _ = self.shared.to.send(Message::Gone(pending.id));
@@ -119,7 +127,35 @@
         self.shared.left.notify_waiters();
     }
 
-    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+    /// Logs the connection's end, and counts it if answers are owed.
+    fn note_ending(&self, ended: &io::Result<Ending>) {
+        if self.owed.is_empty() {
+            trace!(
+                event = "client_left",
+                unread = self.buffer.len(),
+                ?ended,
+                "a client's connection is closed"
+            );
+            return;
+        }
+        let figures = &self.shared.metrics.closed_owing;
+        match ended {
+            Ok(_) => figures.by_client.add_one(),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => figures.by_client.add_one(),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => figures.by_client.add_one(),
+            Err(_) => figures.by_node.add_one(),
+        }
+        debug!(
+            event = "client_left_owed",
+            owed = self.owed.len(),
+            unread = self.buffer.len(),
+            ?ended,
+            stopping = self.shared.closing.used.is_cancelled(),
+            "a client's connection is closed with answers owed"
+        );
+    }
+
+    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<Ending> {
         stream.set_nodelay(true)?;
         let (reader, mut writer) = stream.split();
         let client = reader.as_ref(); // read, and looked at, by one reference
@@ -130,7 +166,8 @@
             let stopping = closing.used.is_cancelled();
             let parting = stopping && self.asked || closing.silent.is_cancelled();
             if unowed && (self.broken.is_some() || parting && self.buffer.is_empty()) {
-                return writer.shutdown().await;
+                writer.shutdown().await?;
+                return Ok(if self.broken.is_some() { Ending::Malformed } else { Ending::Stopping });
             }
             let idle = unowed.then(|| self.idle_state());
             if idle != slot.as_ref().map(IdleSlot::state) {
@@ -148,7 +185,7 @@
                 read = read(client, &mut self.buffer), if reading && roomy => {
                     let read = read?;
                     if read == 0 {
-                        return Ok(());
+                        return Ok(Ending::ClosedByClient);
                     }
                     self.read_at = self.unread.read(client);
                     if self.heard && read == self.buffer.len() {
@@ -160,7 +197,7 @@
                     }
                 }
                 // Guards against: a client that leaves while it is not read, and whose requests go on.
-                () = gone(client, &mut self.unread), if looks => return Ok(()),
+                () = gone(client, &mut self.unread), if looks => return Ok(Ending::ClosedByClient),
                 // Guards against: long commands on all connections at once, which outgrow the memory.
                 Ok(room) = budget.room(wanted), if reading && !roomy => {
                     self.buffer.reserve(wanted.saturating_sub(self.buffer.len()));
@@ -189,9 +226,13 @@
                     let mut text = BytesMut::new();
                     encode(&mut text, &error);
                     timeout(STUCK, writer.write_all(&text)).await??;
-                    return writer.shutdown().await;
+                    writer.shutdown().await?;
+                    return Ok(Ending::Silent);
+                }
+                () = IdleSlot::evicted(&mut slot) => {
+                    writer.shutdown().await?;
+                    return Ok(Ending::Evicted);
                 }
-                () = IdleSlot::evicted(&mut slot) => return writer.shutdown().await,
             }
             self.begin();
         }
@@ -329,7 +370,14 @@
         let held = Held::new(PER_REQUEST + length, &self.shared.held);
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
-        trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), "a request is taken");
+        let now = Instant::now();
+        let stalled = now.saturating_duration_since(self.shared.stalls.earliest_arrival(now));
+        if stalled > Duration::ZERO {
+            self.shared.metrics.read_after_stall.add_one();
+        }
+        trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), wait_us = command.wait,
+            read_us_ago = self.read_at.elapsed().as_micros() as u64,
+            stalled_us = stalled.as_micros() as u64, "a request is taken");
         let client = self.presence.clone();
         let arrival = Arrival { id, command, at: self.read_at, answer: sender, client };
         // A driver that is gone drops the sender, and the request ends as failed.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod reload;
 mod request;
 pub mod shared;
+mod stall;
 mod stopping;
 mod upstream;
 
@@ -43,6 +44,7 @@
 use order_store::OrderStore;
 use orders::{OrderFile, Orders};
 use reload::Follower;
+use stall::StallMonitor;
 use stopping::Plan;
 
 /// Directions that may wait for the driver.
@@ -114,17 +116,20 @@
         Follower { file, control: control.clone(), metrics: metrics.clone(), new_address, new_terms, shared };
     tokio::spawn(follower.run(reload));
 
+    let stalls = StallMonitor::new();
+    tokio::spawn(stalls.clone().run(metrics.clone()));
     let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(
-        sender,
+    let clients = clients::Clients::new(clients::Wiring {
+        to: sender,
         bounds,
-        terms.clone(),
-        closing.clone(),
-        sessions.clone(),
-        metrics.clone(),
+        terms: terms.clone(),
+        closing: closing.clone(),
+        sessions: sessions.clone(),
+        metrics: metrics.clone(),
         budget,
-    );
+        stalls,
+    });
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
     let took = started.elapsed();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -70,6 +70,15 @@
     pub failed: Figure,
 }
 
+/// Connections of clients that ended while answers were owed, by who ended them.
+#[derive(Default, Debug)]
+pub struct ClosedOwing {
+    /// The client, by a close or a reset.
+    pub by_client: Figure,
+    /// The node, by a failed or stuck write or another error.
+    pub by_node: Figure,
+}
+
 /// All figures of this process.
 #[derive(Default)]
 pub struct Metrics {
@@ -91,6 +100,12 @@
     late_attempts: Figure,
     /// How long what is due waits for its turn.
     pub loop_lag: Times,
+    /// How long the event loop did not look at its sockets, where that was long.
+    pub stalls: Times,
+    /// Requests read after a stall, whose time is counted from its start.
+    pub read_after_stall: Figure,
+    /// Connections of clients that ended with answers owed, by what ended them.
+    pub closed_owing: ClosedOwing,
     /// Calls for the list that failed.
     pub list_failures: Figure,
     pub reloads: Figure,
@@ -150,6 +165,9 @@
         for (name, kind, value) in [
             ("svc_backend_calls_total", "counter", self.calls.get()),
             ("svc_attempts_after_leave_total", "counter", self.late_attempts.get()),
+            ("svc_read_after_stall_total", "counter", self.read_after_stall.get()),
+            ("svc_closed_owing_by_client_total", "counter", self.closed_owing.by_client.get()),
+            ("svc_closed_owing_by_node_total", "counter", self.closed_owing.by_node.get()),
             ("svc_unasked_total", "counter", self.unasked.get()),
             ("svc_reused_soon_total", "counter", self.reused_soon.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
@@ -166,6 +184,7 @@
         self.deadline_excess.text(&mut text, "svc_deadline_excess_seconds");
         self.client_ends.text(&mut text, "svc_leave_seen_seconds");
         self.loop_lag.text(&mut text, "svc_loop_lag_seconds");
+        self.stalls.text(&mut text, "svc_stall_seconds");
         if let Some(took) = self.ready.get() {
             head(&mut text, "svc_ready_seconds", "gauge");
             let _ = writeln!(text, "svc_ready_seconds {:.3}", took.as_secs_f64());
