Reproduce the incident: requests that come in a stall are answered after their time (red)

Cause, as measured: the node is stopped (SIGSTOP), a request is written, the node goes on 0.15 s later.

--- /dev/null
+++ b/crates/cli/tests/stalls.rs
@@ -0,0 +1,83 @@
+//! A node that is stopped for a moment answers what came meanwhile by its client's time, not by its own.
+//!
+//! The node is stopped before the request is written and continued after a time that is waited for: the stall itself.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::time::{Duration, Instant};
+
+use fakes::*;
+
+const CACHE: &str = "s-5be2a07c";
+/// How long a client of these tests waits.
+const WAIT: Duration = Duration::from_millis(600);
+/// The longest stall that the terms speak of.
+const STALL: Duration = Duration::from_millis(150);
+/// What an answer may be late by under the terms.
+const SLACK: Duration = Duration::from_millis(50);
+
+fn node_before(cache: &Fake, origin: &Fake) -> Node {
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    Start { operator: true, ..Start::new(&known, Fake::http().addr) }.node()
+}
+
+/// Stops the node, has a request written, and continues the node when the stall is over; returns when the request's
+/// last byte was written.
+fn stalled(node: &Node, write: impl FnOnce()) -> Instant {
+    node.freeze();
+    write();
+    let written = Instant::now();
+    std::thread::sleep(STALL.saturating_sub(written.elapsed()));
+    node.thaw();
+    written
+}
+
+/// Reads the answer, which comes in the client's time, and tells what it was.
+fn answer_in_time(client: &mut Client, written: Instant, what: &str) -> String {
+    let answer = client.answer().expect("an answer");
+    let took = written.elapsed();
+    assert!(took <= WAIT + SLACK, "{what}: {answer} after {took:?} of {WAIT:?}");
+    answer
+}
+
+#[test]
+fn a_request_that_came_in_a_stall_is_answered_in_its_clients_time() {
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let node = node_before(&cache, &origin);
+    let facts = format!("c=read,d={}", WAIT.as_millis());
+    let mut client = node.client();
+    client.ping();
+    let written = stalled(&node, || client.get("k", &facts));
+    let _unanswered = cache.call();
+    answer_in_time(&mut client, written, "on a connection in use");
+    assert!(node.figure("svc_stall_seconds_count") >= 1.0, "the stall is counted");
+    assert!(node.figure("svc_read_after_stall_total") >= 1.0, "so is the request");
+}
+
+#[test]
+fn a_request_on_a_connection_that_was_made_in_a_stall_is_answered_in_its_clients_time() {
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let node = node_before(&cache, &origin);
+    let facts = format!("c=read,d={}", WAIT.as_millis());
+    let mut client = None;
+    let written = stalled(&node, || client.insert(node.client()).get("k", &facts));
+    let _unanswered = cache.call();
+    answer_in_time(client.as_mut().unwrap(), written, "on a new connection");
+}
+
+#[test]
+fn a_request_whose_last_piece_came_in_a_stall_is_answered_in_its_clients_time() {
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let node = node_before(&cache, &origin);
+    let command = words(&["CACHE.GET", "k", "9b1f03aa5c7e2d41", &format!("c=read,d={}", WAIT.as_millis())]);
+    let (first, last) = command.split_at(command.len() / 2);
+    let mut client = node.client();
+    client.ping();
+    client.write(first);
+    // The node has read the first half once it has answered others that came later.
+    node.client().ping();
+    let written = stalled(&node, || client.write(last));
+    let _unanswered = cache.call();
+    answer_in_time(&mut client, written, "in two pieces");
+}
