Count a request's time from when it may have come, and reckon each turn by one reading

Cause: Session::serve took the time of a request from the clock at its read, so that what came while the process stood still had its whole time again; Driver read the clock anew for the budget, the module and each timer, so that a stall between two readings made all that was due later by as much. Class: a time measured when it is seen, not when it happened. Ruled out by the record: short and interrupted calls, restarts, lists (docs/incidents). Change: what is read while the heartbeat is late, or until one is in time again, counts from the last one before. The driver reads the clock once a turn. SIGTERM's times count the same way. Hollow nodes keep the heartbeat too.

--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -81,3 +81,21 @@
     let _unanswered = cache.call();
     answer_in_time(&mut client, written, "in two pieces");
 }
+#[test]
+fn a_write_and_a_request_behind_another_that_came_in_a_stall_are_answered_in_their_clients_time() {
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let node = node_before(&cache, &origin);
+    let wait = WAIT.as_millis();
+    let (mut writer, mut reader) = (node.client(), node.client());
+    writer.ping();
+    reader.ping();
+    let written = stalled(&node, || {
+        writer.set("k", &format!("c=put,d={wait},k=1"), "v");
+        reader.send(&["CACHE.GET", "l", "the-first", &format!("c=read,d={wait}")]);
+        reader.send(&["CACHE.GET", "m", "the-second", &format!("c=read,d={wait}")]);
+    });
+    let _unanswered = (origin.call(), cache.call(), cache.call());
+    answer_in_time(&mut writer, written, "a write");
+    answer_in_time(&mut reader, written, "the first of two");
+    answer_in_time(&mut reader, written, "the second of two");
+}
--- a/crates/node/src/clients/absent.rs
+++ b/crates/node/src/clients/absent.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::peek::nothing_has_come;
+use crate::stall::StallMonitor;
 
 /// How long a client is waited for that has sent what is not read, after the last byte to it.
 const LINGER: Duration = Duration::from_secs(2);
@@ -18,20 +19,30 @@
 /// Guards against a request whose time is counted from when it is read, though it came while the connection was not
 /// read: behind as many answers as may be owed, or while a long answer was written. When each byte came can't be
 /// told afterwards, so that all count from the first of them until the kernel has nothing left to read.
-#[derive(Debug, Default)]
-pub struct UnreadSince(Option<Instant>);
+pub struct UnreadSince {
+    since: Option<Instant>,
+    stalls: StallMonitor,
+}
 
 impl UnreadSince {
+    /// Nothing is waiting yet.
+    pub fn new(stalls: StallMonitor) -> UnreadSince {
+        UnreadSince { since: None, stalls }
+    }
+
     /// Bytes are waiting now.
     fn note(&mut self) {
-        self.0.get_or_insert_with(Instant::now);
+        let came = self.stalls.earliest_arrival(Instant::now());
+        self.since.get_or_insert(came);
     }
 
     /// When what was just read came, at the earliest.
+    ///
+    /// Guards against a request whose time is counted from the end of a stall, though it came in it.
     pub fn read(&mut self, stream: &TcpStream) -> Instant {
-        let came = self.0.unwrap_or_else(Instant::now);
-        if self.0.is_some() && nothing_has_come(stream) {
-            self.0 = None;
+        let came = self.since.unwrap_or_else(|| self.stalls.earliest_arrival(Instant::now()));
+        if self.since.is_some() && nothing_has_come(stream) {
+            self.since = None;
         }
         came
     }
@@ -69,8 +80,8 @@
 ///
 /// Guards against: an answer that the kernel drops. Where a socket is closed with something unread, what it has not
 /// yet sent goes with it.
-pub async fn linger(stream: &TcpStream) {
+pub async fn linger(stream: &TcpStream, unread: &mut UnreadSince) {
     if !nothing_has_come(stream) {
-        let _ = timeout(LINGER, gone(stream, &mut UnreadSince::default())).await;
+        let _ = timeout(LINGER, gone(stream, unread)).await;
     }
 }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -71,6 +71,8 @@
     /// How much of it had come when the client's patience was last reckoned from.
     come: usize,
     /// When the bytes that were read last came, at the earliest.
+    came_at: Instant,
+    /// When they were read.
     read_at: Instant,
     unread: UnreadSince,
     owed: VecDeque<Owed>,
@@ -92,13 +94,13 @@
     pub fn new(shared: Clients) -> Self {
         let now = Instant::now();
         Session {
-            shared,
             presence: Presence::default(),
             buffer: BytesMut::new(),
             large: None,
             come: 0,
+            came_at: now,
             read_at: now,
-            unread: UnreadSince::default(),
+            unread: UnreadSince::new(shared.stalls.clone()),
             owed: VecDeque::new(),
             open: 0,
             heard: false,
@@ -106,6 +108,7 @@
             since: now,
             more: false,
             broken: None,
+            shared,
         }
     }
 
@@ -121,7 +124,7 @@
             }
         }
         if left {
-            linger(&stream).await;
+            linger(&stream, &mut self.unread).await;
         }
         drop(stream);
         self.shared.left.notify_waiters();
@@ -187,7 +190,8 @@
                     if read == 0 {
                         return Ok(Ending::ClosedByClient);
                     }
-                    self.read_at = self.unread.read(client);
+                    self.came_at = self.unread.read(client);
+                    self.read_at = Instant::now();
                     if self.heard && read == self.buffer.len() {
                         self.since = Instant::now(); // a command's first byte
                     }
@@ -370,16 +374,13 @@
         let held = Held::new(PER_REQUEST + length, &self.shared.held);
         let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
-        let now = Instant::now();
-        let stalled = now.saturating_duration_since(self.shared.stalls.earliest_arrival(now));
-        if stalled > Duration::ZERO {
+        if self.shared.stalls.earliest_arrival(self.read_at) < self.read_at {
             self.shared.metrics.read_after_stall.add_one();
         }
         trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), wait_us = command.wait,
-            read_us_ago = self.read_at.elapsed().as_micros() as u64,
-            stalled_us = stalled.as_micros() as u64, "a request is taken");
+            came_us_ago = self.came_at.elapsed().as_micros() as u64, "a request is taken");
         let client = self.presence.clone();
-        let arrival = Arrival { id, command, at: self.read_at, answer: sender, client };
+        let arrival = Arrival { id, command, at: self.came_at, answer: sender, client };
         // A driver that is gone drops the sender, and the request ends as failed.
         let _ = self.shared.to.send(Message::Arrived(arrival));
         self.open += 1;
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -20,7 +20,7 @@
 
 impl Driver {
     pub(super) fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
-        let now = Instant::now();
+        let (now, due) = (Instant::now(), self.now + wait);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
         let start = SendStart::default();
@@ -44,11 +44,11 @@
             open.attempts.push(None);
             return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
-        let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
+        let timer = self.timers.insert_at(Due::Attempt(id, attempt), due);
         trace!(event = "sent", request = %open.name(), attempt, at = %target.addr,
             fresh = pooled.is_none(), wait_us = wait.as_micros() as u64, "an attempt is out");
         // A fetch may run on for others; its server is told of no more than its own client's time.
-        let deadline = (now + wait).min(open.deadline);
+        let deadline = due.min(open.deadline);
         let task = self.start(id, attempt, server, target, pooled, deadline);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.attempts.push(Some(Running { sent: now, task, timer: Some(timer), coming: None }));
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -38,6 +38,13 @@
 /// How often the servers are counted for the figures, which may lag half a second.
 const COUNT: Duration = Duration::from_millis(250);
 
+/// What a turn of the driver is about.
+enum Come {
+    Control(Control),
+    Due(Due),
+    Message(Message),
+}
+
 enum Due {
     Module(TimerToken),
     Attempt(RequestId, usize),
@@ -65,6 +72,10 @@
     metrics: Arc<Metrics>,
     setup: Setup,
     clock: Clock,
+    /// The time that this turn goes by, read before anything else in it.
+    ///
+    /// Guards against a stall between two readings of the clock, which would make all that is due later by as much.
+    now: Instant,
     directory: Directory,
     open: HashMap<RequestId, Open>,
     budget: Budget,
@@ -90,13 +101,14 @@
     /// A driver that holds so many connections to servers at most.
     pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
         let Wiring { budget, metrics, held, subscribe, to_self, inbox, control } = wiring;
-        let (clock, settings) = (Clock::new(), config.setup.settings.clone());
+        let (clock, now, settings) = (Clock::new(), Instant::now(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive), metrics.clone());
         let mut driver = Driver {
-            balancer: Balancer::new(settings, config.seed, clock.now()),
+            balancer: Balancer::new(settings, config.seed, clock.at(now)),
             metrics,
             setup: config.setup,
             clock,
+            now,
             directory,
             open: HashMap::new(),
             budget,
@@ -133,14 +145,20 @@
     /// Waits for what comes next, and does what follows from it; false once nobody can tell it anything. Cancelled,
     /// it has done nothing.
     pub async fn step(&mut self) -> bool {
-        tokio::select! {
+        let come = tokio::select! {
             biased;
-            Some(control) = self.control.recv() => self.on_control(control),
-            Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.on_timer(due.into_inner()),
+            Some(control) = self.control.recv() => Come::Control(control),
+            Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => Come::Due(due.into_inner()),
             message = self.inbox.recv() => match message {
-                Some(message) => self.on_message(message),
+                Some(message) => Come::Message(message),
                 None => return false,
             },
+        };
+        self.now = Instant::now();
+        match come {
+            Come::Control(control) => self.on_control(control),
+            Come::Due(due) => self.on_timer(due),
+            Come::Message(message) => self.on_message(message),
         }
         self.decide();
         true
@@ -148,6 +166,7 @@
 
     /// Takes a message at once, and does what follows from it.
     pub fn take(&mut self, message: Message) {
+        self.now = Instant::now();
         self.on_message(message);
         self.decide();
     }
@@ -165,8 +184,7 @@
     fn on_control(&mut self, control: Control) {
         match control {
             Control::Stopping(at) => {
-                let left = at.saturating_duration_since(Instant::now()).as_micros() as Micros;
-                self.events.push_back(Event::Stopping(self.clock.now() + left));
+                self.events.push_back(Event::Stopping(self.clock.at(at)));
             }
             // Who asked may have left.
             Control::Known(name, answer) => _ = answer.send(self.directory.knows(&name)),
@@ -252,7 +270,7 @@
     fn decide(&mut self) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.balancer.on_event(self.clock.now(), event, &mut actions);
+            self.balancer.on_event(self.clock.at(self.now), event, &mut actions);
             actions.drain(..).for_each(|action| self.execute(action));
             self.actions = actions;
         }
@@ -265,7 +283,8 @@
             Action::Refuse { id, retry_after } => self.end(id, Answer::Busy(retry_after)),
             Action::Fail(id) => self.end(id, Answer::Failed),
             Action::SetTimer { after, token } => {
-                self.timers.insert(Due::Module(token), Duration::from_micros(after).min(LONGEST_TIMER));
+                let after = Duration::from_micros(after).min(LONGEST_TIMER);
+                self.timers.insert_at(Due::Module(token), self.now + after);
             }
             Action::Subscribe => self.subscribe.notify_one(),
             Action::Disconnect(server) => self.directory.disconnect(server),
@@ -295,18 +314,18 @@
         if client.has_ended() {
             return; // its answer would go nowhere
         }
-        let spent = (at.elapsed() + ANSWER_RESERVE).as_micros() as Micros;
+        let spent = self.now.saturating_duration_since(at) + ANSWER_RESERVE;
         let request = Request {
             id,
             class: command.fact("c").and_then(|name| self.setup.class(name)),
             tenant: command.fact("t").and_then(|name| self.setup.tenant(name)),
             key: Some(command.key.clone()),
-            budget: command.wait.saturating_sub(spent),
+            budget: command.wait.saturating_sub(spent.as_micros() as Micros),
             write: command.value.is_some(),
         };
         let class = command.fact("c").filter(|_| request.class.is_some());
         let outcomes = class.map(|class| self.metrics.class(class));
-        let deadline = Instant::now() + Duration::from_micros(request.budget);
+        let deadline = self.now + Duration::from_micros(request.budget);
         let (command, answer) = (Arc::new(command), Some(answer));
         let (attempts, starts) = Default::default();
         let open = Open { command, deadline, answer, attempts, starts, client, outcomes };
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -71,7 +71,9 @@
         let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), offset }
     }
-    pub fn now(&self) -> Micros {
-        (self.offset + self.start.elapsed()).as_micros() as Micros
+
+    /// A time of the monotonic clock on this one.
+    pub fn at(&self, time: Instant) -> Micros {
+        (self.offset + time.saturating_duration_since(self.start)).as_micros() as Micros
     }
 }
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -15,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::order_store::{self, OrderStore};
 use crate::orders::{OrderFile, Orders};
+use crate::stall::StallMonitor;
 use crate::{CONTROLS, discovery};
 
 /// What a node goes by: at its start, and right after it took over a list.
@@ -51,9 +52,11 @@
     store.changed();
     config.file = Default::default();
     let version = config.known.version;
+    let metrics = Arc::new(Metrics::new(Dropped::default()));
+    let _heartbeat = AbortOnDropHandle::new(tokio::spawn(StallMonitor::new().run(metrics.clone())));
     let wiring = Wiring {
         budget: config.relay_budget(),
-        metrics: Arc::new(Metrics::new(Dropped::default())),
+        metrics: metrics.clone(),
         held: Arc::new(AtomicUsize::new(0)),
         subscribe,
         to_self: sender.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -128,7 +128,7 @@
         sessions: sessions.clone(),
         metrics: metrics.clone(),
         budget,
-        stalls,
+        stalls: stalls.clone(),
     });
     let accepting = tokio::spawn(clients.accept(listener));
     serving.store(true, Ordering::Relaxed);
@@ -140,7 +140,8 @@
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
     }
     info!(event = "stopping", "what was taken is answered, new connections are taken for a moment");
-    let (stopped, plan) = (Instant::now(), Plan::new(terms.borrow().longest, handover::is_passed()));
+    let stopped = stalls.earliest_arrival(Instant::now()); // the word may have come in a stall
+    let plan = Plan::new(terms.borrow().longest, handover::is_passed());
     // A driver that is gone takes nothing.
     let _ = control.send(Control::Stopping(stopped + plan.answers)).await;
     serving.store(false, Ordering::Relaxed);
--- a/crates/node/src/stall.rs
+++ b/crates/node/src/stall.rs
@@ -12,7 +12,7 @@
 use crate::metrics::Metrics;
 
 /// How often the event loop shows that it looks at its sockets.
-const HEARTBEAT: Duration = Duration::from_millis(20);
+const HEARTBEAT: Duration = Duration::from_millis(25);
 /// A heartbeat that is later than this is the end of a stall.
 const TOLERANCE: Duration = Duration::from_millis(10);
 /// Stalls from this length on are logged.
@@ -53,18 +53,15 @@
 
     /// Keeps the heartbeat until it is dropped; counts and logs stalls.
     pub async fn run(self, metrics: Arc<Metrics>) {
-        let mut next = Instant::now();
         loop {
-            next += HEARTBEAT;
-            sleep_until(next).await;
             let now = Instant::now();
             if let Some(stalled) = self.heartbeat(now) {
                 metrics.stalls.record(stalled);
                 if stalled >= LOGGED {
                     info!(event = "stalled", ms = stalled.as_millis() as u64, "nothing was read or written");
                 }
-                next = now;
             }
+            sleep_until(now + HEARTBEAT).await;
         }
     }
 }
