Check a repeat's window right before its first byte, and count broken rules

Cause: Balancer::send checked a keyed write's window when it decided; SendPermit::start, right before the first byte, did not ask again, so that a connection which came up late carried a repeat after the window. Change: Action::Send tells until when a repeat may start, SendPermit refuses it from then on. Five invariants are checked by times noted apart from the guards and counted in svc_invariant_violations_total.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -158,6 +158,12 @@
             fall: self.fall,
         }
     }
+
+    /// Whether a request may run more than once. A read of no told class changes nothing; a write might.
+    pub fn effect(&self, class: Option<usize>, write: bool) -> Effect {
+        let untold = if write { Effect::Unsafe } else { Effect::Safe };
+        class.and_then(|class| self.classes.get(class)).map_or(untold, |class| class.effect)
+    }
 }
 
 /// State of a member of the list.
@@ -371,6 +377,8 @@
         server: ServerId,
         /// Time-out; 0 means until the client gives up.
         timeout: Micros,
+        /// From when on it may not be sent any more: a repeat of what may have run, which servers discard until then.
+        repeat_until: Option<Micros>,
     },
     /// Stop waiting for an attempt; its outcome still comes.
     Cancel {
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -233,13 +233,12 @@
         let id = request.id;
         let class = request.class.filter(|&c| c < self.settings.classes.len());
         let told = class.map(|c| &self.settings.classes[c]);
-        // A read of no told class changes nothing; a write might.
-        let untold = if request.write { Effect::Unsafe } else { Effect::Safe };
+        let effect = self.settings.effect(request.class, request.write);
         let key = match &request.key {
             Some(key) => xxh3_64_with_seed(key.as_bytes(), 0),
             None => self.rng.u64(..),
         };
-        let mut open = Open::new(&request, key, told.map_or(untold, |c| c.effect), self.now);
+        let mut open = Open::new(&request, key, effect, self.now);
         open.class = class.map_or(0, |c| c + 1);
         (open.most, open.copies) = (self.settings.max_attempts, self.settings.second_copies);
         open.aim = told.map_or(request.budget, |c| c.aim);
@@ -462,15 +461,16 @@
         if !s.in_service() || r.outstanding() > 0 && !self.may_copy(r) {
             return false; // drains are kept from the moment they are told, and writes have no copy
         }
+        let repeat_until = r.repeat_until();
+        let in_time = repeat_until.is_none_or(|until| self.now < until);
         let mut ran = r.tries.iter().filter(|t| t.out || t.may_have_run);
         let allowed = match r.effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             // Within the group that discards repeats, while it surely still remembers.
-            Effect::Keyed { scope, window } => ran.all(|t| {
+            Effect::Keyed { scope, .. } => ran.all(|t| {
                 let first = self.servers.get(&t.server).map(|f| &f.member);
-                self.now < t.sent.saturating_add(window - window / 8)
-                    && first.is_some_and(|f| f.groups_with(&s.member, scope))
+                in_time && first.is_some_and(|f| f.groups_with(&s.member, scope))
             }),
         };
         // A cold cache gets no more than our part of what it can take, whoever asks.
@@ -497,7 +497,7 @@
         r.tries.push(Try { server: to, sent: self.now, out: true, may_have_run: false, missed: false });
         let fetches = origin && r.leads;
         let timeout = if fetches { left.max(r.aim) } else { left };
-        out.push(Action::Send { id, server: to, timeout });
+        out.push(Action::Send { id, server: to, timeout, repeat_until });
         if hedges || timeout > left {
             self.wake(id, if hedges { hedge_in } else { left }, out);
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -318,6 +318,14 @@
     pub fn missed(&self) -> bool {
         self.tries.iter().any(|t| t.missed)
     }
+    /// Until when it may be sent again, where what was sent may have run and repeats are discarded for a time.
+    ///
+    /// An eighth of the window is kept back for what differs between our clock's reading and the server's.
+    pub fn repeat_until(&self) -> Option<Micros> {
+        let Effect::Keyed { window, .. } = self.effect else { return None };
+        let ran = self.tries.iter().filter(|t| t.out || t.may_have_run);
+        ran.map(|t| t.sent.saturating_add(window - window / 8)).min()
+    }
     /// Only safe reads are copied.
     pub fn repeatable(&self) -> bool {
         !self.write && self.effect == Effect::Safe
--- a/crates/balancer/tests/property.rs
+++ b/crates/balancer/tests/property.rs
@@ -108,7 +108,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.sent(id, server, timeout),
+            Action::Send { id, server, timeout, .. } => self.sent(id, server, timeout),
             Action::Cancel { id, attempt } => {
                 assert!(self.settings.cancel, "cancels are forbidden");
                 assert!(attempt < self.asked[&id].attempts.len(), "no such attempt");
--- a/crates/node/src/clients/owed.rs
+++ b/crates/node/src/clients/owed.rs
@@ -9,7 +9,9 @@
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::RequestId;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use crate::invariants::{ANSWER_SLACK, Invariant, Violations};
 use crate::metrics::InFlight;
 use crate::relay::{Room, Stream};
 use crate::request::Answer;
@@ -68,9 +70,28 @@
     }
 }
 
+/// Until when an answer is awaited.
+#[derive(Clone)]
+pub struct Due {
+    pub at: Instant,
+    /// The request's id as its client gave it.
+    pub request: Bytes,
+}
+
+impl Due {
+    /// Checks an answer whose last byte was written now.
+    pub fn check(&self, violations: &Violations) {
+        if Instant::now() > self.at + ANSWER_SLACK {
+            violations.note(Invariant::AnswerInTime, &self.request);
+        }
+    }
+}
+
 /// A request that waits for its answer.
 pub struct Pending {
     pub id: RequestId,
+    /// Until when its client waits, and its id as the client gave it.
+    pub due: Due,
     pub answer: oneshot::Receiver<Answer>,
     pub _open_id: OpenId,
     pub _held: Held,
@@ -98,7 +119,8 @@
 
 /// What goes out next.
 pub enum Outgoing {
-    Frame(BytesFrame),
+    /// An answer, and when it is due if that is known.
+    Frame(BytesFrame, Option<Due>),
     /// Its request is open until it has gone.
     Value(Stream, Pending),
 }
@@ -114,7 +136,8 @@
     match (owed.pop_front(), answer.map(outgoing)) {
         (Some(Owed::Waiting(pending)), Some(Err(stream))) => Outgoing::Value(stream, pending),
         (Some(Owed::Coming(stream, pending)), _) => Outgoing::Value(stream, pending),
-        (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame),
+        (Some(Owed::Waiting(pending)), Some(Ok(frame))) => Outgoing::Frame(frame, Some(pending.due)),
+        (Some(Owed::Ready(frame)), _) | (_, Some(Ok(frame))) => Outgoing::Frame(frame, None),
         (_, _) => std::future::pending().await,
     }
 }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -20,7 +20,8 @@
 use super::absent::{UnreadSince, gone, linger, unless_gone};
 use super::command::{CommandError, announced, arguments, parse_command};
 use super::idle::{IdleSlot, IdleState};
-use super::owed::{Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
+use super::owed::{Due, Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
+use crate::invariants::Invariant;
 use crate::message::{Arrival, Message, Surplus};
 use crate::metrics::InFlight;
 use crate::presence::Presence;
@@ -146,7 +147,10 @@
             Ok(_) => figures.by_client.add_one(),
             Err(error) if error.kind() == io::ErrorKind::ConnectionReset => figures.by_client.add_one(),
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => figures.by_client.add_one(),
-            Err(_) => figures.by_node.add_one(),
+            Err(_) => {
+                figures.by_node.add_one();
+                self.shared.metrics.violations.note(Invariant::NoCloseOwing, &[]);
+            }
         }
         debug!(
             event = "client_left_owed",
@@ -210,11 +214,13 @@
                 }
                 outgoing = next(&mut self.owed), if !unowed => {
                     match outgoing {
-                        Outgoing::Frame(frame) => {
-                            let text = self.answers(frame);
+                        Outgoing::Frame(frame, due) => {
+                            let (text, dues) = self.answers(frame, due);
                             let write = async { timeout(STUCK, writer.write_all(&text)).await? };
                             unless_gone(client, &mut self.unread, write).await?;
+                            dues.iter().for_each(|due| due.check(&self.shared.metrics.violations));
                         }
+                        // A long value takes as long as its client and its server make it.
                         Outgoing::Value(stream, _pending) => {
                             unless_gone(client, &mut self.unread, stream.write_to(&mut writer)).await?;
                         }
@@ -264,9 +270,10 @@
         self.broken.map_or(self.since + PATIENCE, |at| at + PARTING)
     }
 
-    /// The text of an answer, and of those behind it that are at hand.
-    fn answers(&mut self, first: BytesFrame) -> BytesMut {
+    /// The text of an answer, and of those behind it that are at hand, and when they are due.
+    fn answers(&mut self, first: BytesFrame, due: Option<Due>) -> (BytesMut, Vec<Due>) {
         let mut text = BytesMut::new();
+        let mut dues = Vec::from_iter(due);
         encode(&mut text, &first);
         while text.len() < WRITTEN {
             let frame = match self.owed.front_mut() {
@@ -277,7 +284,10 @@
                 },
                 Some(Owed::Waiting(pending)) => match pending.answer.try_recv() {
                     Ok(answer) => match outgoing(answer) {
-                        Ok(frame) => frame,
+                        Ok(frame) => {
+                            dues.push(pending.due.clone());
+                            frame
+                        }
                         Err(stream) => {
                             if let Some(Owed::Waiting(pending)) = self.owed.pop_front() {
                                 self.owed.push_front(Owed::Coming(stream, pending));
@@ -292,7 +302,7 @@
             self.owed.pop_front();
             encode(&mut text, &frame);
         }
-        text
+        (text, dues)
     }
 
     fn recount(&mut self) {
@@ -379,6 +389,10 @@
         }
         trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), wait_us = command.wait,
             came_us_ago = self.came_at.elapsed().as_micros() as u64, "a request is taken");
+        if self.shared.closing.silent.is_cancelled() {
+            self.shared.metrics.violations.note(Invariant::NoLateStart, &command.id);
+        }
+        let due = Due { at: self.came_at + Duration::from_micros(command.wait), request: command.id.clone() };
         let client = self.presence.clone();
         let arrival = Arrival { id, command, at: self.came_at, answer: sender, client };
         // A driver that is gone drops the sender, and the request ends as failed.
@@ -387,6 +401,7 @@
         self.asked = true;
         Ok(Owed::Waiting(Pending {
             id,
+            due,
             answer,
             _open_id: open_id,
             _held: held,
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -10,36 +10,48 @@
 
 use super::open_request::{Open, Running};
 use super::{Driver, Due};
+use crate::invariants::Invariant;
 use crate::message::{Ended, Message};
 use crate::relay::{Pass, Stream};
 use crate::request::Answer;
 use crate::upstream::attempt;
 use crate::upstream::connection::Connection;
 use crate::upstream::directory::Target;
-use crate::upstream::send_permit::SendStart;
+use crate::upstream::send_permit::{SendConditions, SendStart};
 
 impl Driver {
-    pub(super) fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
+    pub(super) fn send(
+        &mut self,
+        id: RequestId,
+        server: ServerId,
+        wait: Duration,
+        repeat_until: Option<Instant>,
+    ) {
         let (now, due) = (Instant::now(), self.now + wait);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
-        let start = SendStart::default();
-        open.starts.push(start.clone());
+        let conditions = SendConditions { client: open.client.clone(), repeat_until, ..Default::default() };
+        let repeats = open.must_not_repeat();
+        open.starts.push(conditions.start.clone());
+        if repeats {
+            self.metrics.violations.note(Invariant::NoUnsafeRepeat, &open.command.id);
+            open.attempts.push(None);
+            return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+        }
         if open.client.has_ended() {
             // Word of it waits in the inbox, behind what made the module send.
             open.attempts.push(None);
             self.gone(id);
             return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         }
-        let place =
-            self.directory.check_out(server, now, open.client.clone(), start).filter(|(_, pooled)| {
-                let held = self.running + self.directory.idle();
-                self.held.store(held, Ordering::Relaxed);
-                if pooled.is_none() && held >= self.connections {
-                    self.directory.close_oldest();
-                }
-                pooled.is_some() || self.running < self.connections
-            });
+        let place = self.directory.check_out(server, now, conditions).filter(|(_, pooled)| {
+            let held = self.running + self.directory.idle();
+            self.held.store(held, Ordering::Relaxed);
+            if pooled.is_none() && held >= self.connections {
+                self.directory.close_oldest();
+            }
+            pooled.is_some() || self.running < self.connections
+        });
         let Some((target, pooled)) = place else {
             open.attempts.push(None);
             return self.report_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
@@ -139,6 +151,7 @@
             self.timers.try_remove(&timer);
         }
         running.coming = Some(running.sent.elapsed());
+        open.answered_at = Some(Instant::now());
         let _ = sender.send(Answer::Stream(stream)); // the client may have left
         self.events.push_back(Event::FirstByte { id, attempt });
         self.stop_unwritten(id);
@@ -164,8 +177,12 @@
         let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !coming(open));
         let elapsed = elapsed.as_micros() as Micros;
         let mut begun = true;
-        if let Some(open) = self.open.get(&id) {
+        if let Some(open) = self.open.get_mut(&id) {
             begun = open.starts.get(attempt).is_none_or(SendStart::is_set);
+            open.may_have_run |= begun && outcome.may_have_run();
+            if open.began_after_end(attempt) {
+                self.metrics.violations.note(Invariant::NoSendAfterEnd, &open.command.id);
+            }
             trace!(event = "attempt_ended", request = %open.name(), attempt, ?outcome, elapsed_us = elapsed,
                 "an attempt has ended");
         }
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -278,7 +278,10 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, Duration::from_micros(timeout)),
+            Action::Send { id, server, timeout, repeat_until } => {
+                let repeat_until = repeat_until.map(|until| self.clock.instant(until));
+                self.send(id, server, Duration::from_micros(timeout), repeat_until);
+            }
             Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Canceled),
             Action::Refuse { id, retry_after } => self.end(id, Answer::Busy(retry_after)),
             Action::Fail(id) => self.end(id, Answer::Failed),
@@ -328,7 +331,19 @@
         let deadline = self.now + Duration::from_micros(request.budget);
         let (command, answer) = (Arc::new(command), Some(answer));
         let (attempts, starts) = Default::default();
-        let open = Open { command, deadline, answer, attempts, starts, client, outcomes };
+        let effect = self.setup.settings.effect(request.class, request.write);
+        let open = Open {
+            command,
+            deadline,
+            answer,
+            attempts,
+            starts,
+            effect,
+            may_have_run: false,
+            answered_at: None,
+            client,
+            outcomes,
+        };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
@@ -379,6 +394,7 @@
                 figure.add_one();
             }
             open.note_end(&answer);
+            open.answered_at = Some(Instant::now());
             let _ = sender.send(answer); // the client may have left
         }
     }
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use stonefold_balancer::Micros;
+use stonefold_balancer::{Effect, Micros};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -27,6 +27,12 @@
     pub attempts: Vec<Option<Running>>,
     /// Of each of them, whether and when its first byte went out.
     pub starts: Vec<SendStart>,
+    /// Whether it may be sent again after it may have run.
+    pub effect: Effect,
+    /// Whether an attempt has ended that may have run.
+    pub may_have_run: bool,
+    /// When its final answer was given.
+    pub answered_at: Option<Instant>,
     pub client: Presence,
     /// Where its end is counted; nowhere for a request of no class.
     pub outcomes: Option<Arc<Outcomes>>,
@@ -38,6 +44,21 @@
         String::from_utf8_lossy(&self.command.id)
     }
 
+    /// Whether another attempt would break a rule, as far as the node itself knows: what may have run and may not be
+    /// repeated.
+    pub fn must_not_repeat(&self) -> bool {
+        let out = |(running, start): (&Option<Running>, &SendStart)| running.is_some() && start.is_set();
+        self.effect == Effect::Unsafe
+            && (self.may_have_run || self.attempts.iter().zip(&self.starts).any(out))
+    }
+
+    /// Whether an attempt began after the request's end: its final answer, or the end of its client.
+    pub fn began_after_end(&self, attempt: usize) -> bool {
+        let Some(start) = self.starts.get(attempt) else { return false };
+        let ends = [self.answered_at, self.client.ended_at()];
+        ends.into_iter().flatten().any(|end| start.after(end))
+    }
+
     /// What is said of a request that was not served.
     pub fn note_end(&self, answer: &Answer) {
         let (event, retry_after_us) = match answer {
@@ -72,6 +93,11 @@
         Clock { start: Instant::now(), offset }
     }
 
+    /// A time of this clock on the monotonic one.
+    pub fn instant(&self, time: Micros) -> Instant {
+        self.start + Duration::from_micros(time).saturating_sub(self.offset)
+    }
+
     /// A time of the monotonic clock on this one.
     pub fn at(&self, time: Instant) -> Micros {
         (self.offset + time.saturating_duration_since(self.start)).as_micros() as Micros
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod handover;
 pub mod hollow;
+mod invariants;
 pub mod membership;
 mod message;
 mod metrics;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,6 +13,7 @@
 use hdrhistogram::Histogram;
 use stonefold_observe::Dropped;
 
+use crate::invariants::Violations;
 use crate::membership::MembershipFigures;
 
 /// The longest time that is told apart, and how many digits of each count.
@@ -106,6 +107,8 @@
     pub read_after_stall: Figure,
     /// Connections of clients that ended with answers owed, by what ended them.
     pub closed_owing: ClosedOwing,
+    /// Rules that were broken.
+    pub violations: Violations,
     /// Calls for the list that failed.
     pub list_failures: Figure,
     pub reloads: Figure,
@@ -185,6 +188,7 @@
         self.client_ends.text(&mut text, "svc_leave_seen_seconds");
         self.loop_lag.text(&mut text, "svc_loop_lag_seconds");
         self.stalls.text(&mut text, "svc_stall_seconds");
+        self.violations.text(&mut text);
         if let Some(took) = self.ready.get() {
             head(&mut text, "svc_ready_seconds", "gauge");
             let _ = writeln!(text, "svc_ready_seconds {:.3}", took.as_secs_f64());
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -14,9 +14,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::connection::Connection;
-use super::send_permit::{SendPermit, SendStart, ServingFlag};
+use super::send_permit::{SendConditions, SendPermit, ServingFlag};
 use crate::metrics::Metrics;
-use crate::presence::Presence;
 
 /// A connection rests for so long before it is used again, if another can be.
 ///
@@ -187,13 +186,12 @@
         id
     }
 
-    /// Where to send to a server for this client, and the connection to use, if one is at hand.
+    /// Where to send to a server under these conditions, and the connection to use, if one is at hand.
     pub fn check_out(
         &mut self,
         id: ServerId,
         now: Instant,
-        client: Presence,
-        start: SendStart,
+        conditions: SendConditions,
     ) -> Option<(Target, Option<Connection>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
@@ -208,7 +206,7 @@
                 break;
             }
         }
-        let permit = SendPermit::new(server.serving.clone(), client, start);
+        let permit = SendPermit::new(server.serving.clone(), conditions);
         let target = Target { addr: server.addr, origin: server.origin, permit };
         Some((target, pooled))
     }
--- a/crates/node/src/upstream/send_permit.rs
+++ b/crates/node/src/upstream/send_permit.rs
@@ -67,31 +67,44 @@
     }
 }
 
+/// What one attempt depends on, whichever server it goes to.
+#[derive(Clone, Default)]
+pub struct SendConditions {
+    /// The client that it is for.
+    pub client: Presence,
+    /// Where its start is noted.
+    pub start: SendStart,
+    /// From when on it may not start: a repeat is discarded by the servers until then.
+    pub repeat_until: Option<Instant>,
+}
+
 /// Decides whether one attempt may be sent.
 pub struct SendPermit {
     server: ServingFlag,
-    client: Presence,
-    start: SendStart,
+    conditions: SendConditions,
 }
 
 impl SendPermit {
-    /// A permit that holds while the server accepts requests and the client is connected.
-    pub fn new(server: ServingFlag, client: Presence, start: SendStart) -> SendPermit {
-        SendPermit { server, client, start }
+    /// A permit that holds while the server accepts requests, the client is connected and a repeat is discarded.
+    pub fn new(server: ServingFlag, conditions: SendConditions) -> SendPermit {
+        SendPermit { server, conditions }
     }
 
     /// Starts the attempt, or returns `None` if nothing may be sent. The deadline lies [`ANSWER_RESERVE`] before the
     /// client's. There must be no await between this call and the first write.
     ///
     /// Guards against a request that is sent to a server which began to drain while the connection was being
-    /// opened, for a client that has disconnected, or after the client's deadline.
+    /// opened, for a client that has disconnected, after the client's deadline, or again once servers have forgotten
+    /// the first time.
     pub fn start(&self, deadline: Instant) -> Option<StatedTime> {
         let now = Instant::now();
         let left = deadline.saturating_duration_since(now);
-        if !self.server.serving() || self.client.has_ended() || left < SHORTEST_WAIT {
+        let SendConditions { client, start, repeat_until } = &self.conditions;
+        let forgotten = repeat_until.is_some_and(|until| now >= until);
+        if !self.server.serving() || client.has_ended() || left < SHORTEST_WAIT || forgotten {
             return None;
         }
-        let _ = self.start.0.set(now); // a permit is used once
+        let _ = start.0.set(now); // a permit is used once
         Some(StatedTime { at: now, left })
     }
 }
--- a/crates/node/src/upstream/send_permit/tests.rs
+++ b/crates/node/src/upstream/send_permit/tests.rs
@@ -5,8 +5,8 @@
     let client = Presence::default();
     let deadline = Instant::now() + Duration::from_secs(1);
     let attempt = || {
-        let start = SendStart::default();
-        (SendPermit::new(ServingFlag::new(), client.clone(), start.clone()), start)
+        let conditions = SendConditions { client: client.clone(), ..SendConditions::default() };
+        (SendPermit::new(ServingFlag::new(), conditions.clone()), conditions.start)
     };
     let ((before, started), (after, never)) = (attempt(), attempt());
     assert!(before.start(deadline).is_some());
@@ -25,9 +25,9 @@
 async fn nothing_starts_once_less_is_left_than_can_be_stated() {
     let deadline = Instant::now() + Duration::from_millis(300);
     let start = || {
-        let start = SendStart::default();
-        let permit = SendPermit::new(ServingFlag::new(), Presence::default(), start.clone());
-        (permit.start(deadline).map(|stated| stated.left()), start.is_set())
+        let conditions = SendConditions::default();
+        let permit = SendPermit::new(ServingFlag::new(), conditions.clone());
+        (permit.start(deadline).map(|stated| stated.left()), conditions.start.is_set())
     };
     assert_eq!(start(), (Some(Duration::from_millis(300)), true));
     tokio::time::advance(Duration::from_millis(299)).await;
@@ -40,7 +40,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn what_is_stated_exceeds_what_is_left_by_how_long_the_last_byte_takes() {
-    let permit = SendPermit::new(ServingFlag::new(), Presence::default(), SendStart::default());
+    let permit = SendPermit::new(ServingFlag::new(), SendConditions::default());
     let started = Instant::now();
     let stated = permit.start(started + Duration::from_secs(1)).unwrap();
     assert_eq!(stated.excess(started), Duration::ZERO);
@@ -48,3 +48,17 @@
     let last_byte = started + ANSWER_RESERVE + Duration::from_millis(400);
     assert_eq!(stated.excess(last_byte), Duration::from_millis(400));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_starts_only_while_servers_discard_it() {
+    let until = Instant::now() + Duration::from_millis(100);
+    let deadline = until + Duration::from_secs(1);
+    let permit = || {
+        let conditions = SendConditions { repeat_until: Some(until), ..SendConditions::default() };
+        SendPermit::new(ServingFlag::new(), conditions)
+    };
+    tokio::time::advance(Duration::from_millis(99)).await;
+    assert!(permit().start(deadline).is_some());
+    tokio::time::advance(Duration::from_millis(1)).await;
+    assert!(permit().start(deadline).is_none());
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -318,7 +318,7 @@
 
 fn reply(instance: u64, action: Action) -> Reply {
     match action {
-        Action::Send { id, server, timeout } => {
+        Action::Send { id, server, timeout, .. } => {
             Reply::Place { instance, rid: id.0, server: server.0, within: millis(timeout) }
         }
         Action::Cancel { id, attempt } => Reply::AbortAttempt { instance, rid: id.0, leg: attempt },
