Make system calls fail inside processes under test, and show what that costs (red)

Change: stonefold-faults holds a plan (seed, rates, step of the wall clock) that a test changes while a process runs; stonefold-faults-preload is loaded into that process and makes calls fail.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -1,6 +1,7 @@
 //! A node under test, and what stands round it: scripted servers and a client. All wait on events.
 #![allow(dead_code)] // each test file uses its own part
 
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -307,6 +308,8 @@
     pub shared: Option<&'a Path>,
     /// Whether the log's pipe stays open, unread; else it closes.
     pub unread: bool,
+    /// More of its environment.
+    pub environment: Vec<(&'static str, OsString)>,
 }
 
 impl Node {
@@ -328,12 +331,24 @@
             passed: None,
             shared: None,
             unread: false,
+            environment: Vec::new(),
         }
     }
 
     pub fn node(self) -> Node {
-        let Start { known, discovery, sockets, memory_mb, settings, shell, operator, passed, shared, unread } =
-            self;
+        let Start {
+            known,
+            discovery,
+            sockets,
+            memory_mb,
+            settings,
+            shell,
+            operator,
+            passed,
+            shared,
+            unread,
+            environment,
+        } = self;
         let config = format!(
             r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{known},"settings":{settings}}}"#
         );
@@ -345,7 +360,8 @@
         command
             .env("EDGE_CONFIG", file.path())
             .env("EDGE_LISTEN", "127.0.0.1:0")
-            .env("EDGE_DISCOVERY", discovery.to_string());
+            .env("EDGE_DISCOVERY", discovery.to_string())
+            .envs(environment);
         if let Some(listener) = passed {
             command.stdin(OwnedFd::from(listener.try_clone().unwrap())).env("EDGE_PASSED_SOCKET", "4");
         }
@@ -491,6 +507,17 @@
     format!("*{}\r\n{bulk}", words.len())
 }
 
+/// What became of a client's request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A bulk string's text, or the line.
+    Answer(String),
+    /// The connection ended before a whole answer.
+    Closed,
+    /// Nothing came in the time of a read.
+    Nothing,
+}
+
 /// A client's connection.
 pub struct Client {
     reader: BufReader<TcpStream>,
@@ -516,6 +543,25 @@
         let value = bytes(&mut self.reader, length.parse().unwrap())?;
         line(&mut self.reader).map(|_| value)
     }
+    /// What becomes of a request: its answer, a close, or nothing in the read's time.
+    pub fn outcome(&mut self) -> Outcome {
+        let mut first = String::new();
+        match self.reader.read_line(&mut first) {
+            Ok(0) => return Outcome::Closed,
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Outcome::Nothing;
+            }
+            Err(_) => return Outcome::Closed,
+        }
+        let Some(length) = first.trim_end().strip_prefix('$') else {
+            return Outcome::Answer(first.trim_end().to_owned());
+        };
+        let Ok(length) = length.parse() else { return Outcome::Closed };
+        let value = bytes(&mut self.reader, length);
+        let whole = value.and_then(|value| line(&mut self.reader).map(|_| value));
+        whole.map_or(Outcome::Closed, Outcome::Answer)
+    }
     /// The next line.
     pub fn line(&mut self) -> String {
         line(&mut self.reader).expect("a line")
--- /dev/null
+++ b/crates/faults-preload/src/lib.rs
@@ -0,0 +1,283 @@
+//! System calls that fail inside a process under test, loaded into it by `LD_PRELOAD`. It takes the place of the C
+//! library's functions of these names, and calls on to them unless the [plan](stonefold_faults::FaultPlan) says
+//! otherwise. Without a plan in the environment it does nothing else.
+
+mod plan;
+mod real;
+
+use std::ffi::{c_int, c_void};
+use std::mem::MaybeUninit;
+use std::ptr;
+
+use libc::{clockid_t, epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use stonefold_faults::Fault;
+
+use plan::Plan;
+use real::real;
+
+/// The most bytes that a short call moves.
+const SHORT: usize = 7;
+
+fn fail(errno: c_int) -> c_int {
+    // SAFETY: the C library gives each thread a valid place for its errno.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+/// One of these errors.
+fn one_of(plan: &Plan, errors: &[c_int]) -> c_int {
+    fail(errors[plan.below(errors.len() as u64) as usize])
+}
+
+/// Whether a descriptor is a TCP or UDP socket. Leaves errno as it was.
+fn is_network(fd: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    // SAFETY: both pointers are to live variables of the size that is told; errno's place is valid.
+    unsafe {
+        let errno = *libc::__errno_location();
+        let option = (&raw mut domain).cast::<c_void>();
+        let failed = libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_DOMAIN, option, &raw mut length) != 0;
+        *libc::__errno_location() = errno;
+        !failed && domain == libc::AF_INET
+    }
+}
+
+/// Whether a descriptor is a regular file or a folder. Leaves errno as it was.
+fn is_stored(fd: c_int) -> bool {
+    let mut stat = MaybeUninit::<libc::stat>::uninit();
+    // SAFETY: the pointer is to a live variable of that type, which is read only if the call has filled it.
+    unsafe {
+        let errno = *libc::__errno_location();
+        let failed = libc::fstat(fd, stat.as_mut_ptr()) != 0;
+        *libc::__errno_location() = errno;
+        !failed && matches!(stat.assume_init().st_mode & libc::S_IFMT, libc::S_IFREG | libc::S_IFDIR)
+    }
+}
+
+/// What a call that moves bytes does, as the plan has it.
+enum Turn {
+    Whole,
+    /// So many bytes at most.
+    Short(usize),
+    Failed(c_int),
+}
+
+fn broken_path(plan: &Plan, fd: c_int) -> Turn {
+    // As with a real one, nothing more goes through it.
+    // SAFETY: shutdown takes any descriptor.
+    unsafe { libc::shutdown(fd, libc::SHUT_RDWR) };
+    Turn::Failed(one_of(plan, &[libc::ETIMEDOUT, libc::EHOSTUNREACH]))
+}
+
+fn network_turn(fd: c_int, interrupted: Fault, short: Fault, looks: bool) -> Turn {
+    let Some(plan) = Plan::of_process().filter(|_| is_network(fd)) else { return Turn::Whole };
+    if plan.strikes(interrupted) {
+        return Turn::Failed(fail(libc::EINTR));
+    }
+    if !looks && plan.strikes(Fault::BrokenPath) {
+        return broken_path(plan, fd);
+    }
+    match !looks && plan.strikes(short) {
+        true => Turn::Short(1 + plan.below(SHORT as u64) as usize),
+        false => Turn::Whole,
+    }
+}
+
+fn read_turn(fd: c_int, flags: c_int) -> Turn {
+    network_turn(fd, Fault::InterruptedRead, Fault::ShortRead, flags & libc::MSG_PEEK != 0)
+}
+
+fn write_turn(fd: c_int) -> Turn {
+    network_turn(fd, Fault::InterruptedWrite, Fault::ShortWrite, false)
+}
+
+/// Whether a call on a stored file fails.
+fn storage_fails(fd: c_int, fault: Fault) -> Option<&'static Plan> {
+    Plan::of_process().filter(|plan| plan.is_set(fault) && is_stored(fd) && plan.strikes(fault))
+}
+
+/// # Safety
+/// As `recv` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    let length = match read_turn(fd, flags) {
+        Turn::Whole => length,
+        Turn::Short(most) => length.min(most),
+        Turn::Failed(error) => return error as ssize_t,
+    };
+    // SAFETY: the caller's arguments, of which the length is at most shortened.
+    unsafe { real!(recv: fn(c_int, *mut c_void, size_t, c_int) -> ssize_t)(fd, buffer, length, flags) }
+}
+
+/// # Safety
+/// As `read` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, length: size_t) -> ssize_t {
+    if storage_fails(fd, Fault::FileRead).is_some() {
+        return fail(libc::EIO) as ssize_t;
+    }
+    let length = match read_turn(fd, 0) {
+        Turn::Whole => length,
+        Turn::Short(most) => length.min(most),
+        Turn::Failed(error) => return error as ssize_t,
+    };
+    // SAFETY: as in `recv`.
+    unsafe { real!(read: fn(c_int, *mut c_void, size_t) -> ssize_t)(fd, buffer, length) }
+}
+
+/// # Safety
+/// As `readv` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn readv(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    match read_turn(fd, 0) {
+        // SAFETY: the caller's arguments; the first part, if there is one, is shortened in a copy.
+        Turn::Short(most) if count > 0 => unsafe {
+            let first = iovec { iov_len: (*parts).iov_len.min(most), ..*parts };
+            real!(readv: fn(c_int, *const iovec, c_int) -> ssize_t)(fd, &raw const first, 1)
+        },
+        Turn::Failed(error) => error as ssize_t,
+        // SAFETY: the caller's arguments.
+        _ => unsafe { real!(readv: fn(c_int, *const iovec, c_int) -> ssize_t)(fd, parts, count) },
+    }
+}
+
+/// # Safety
+/// As `send` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    let length = match write_turn(fd) {
+        Turn::Whole => length,
+        Turn::Short(most) => length.min(most),
+        Turn::Failed(error) => return error as ssize_t,
+    };
+    // SAFETY: as in `recv`.
+    unsafe { real!(send: fn(c_int, *const c_void, size_t, c_int) -> ssize_t)(fd, buffer, length, flags) }
+}
+
+/// # Safety
+/// As `write` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    if let Some(plan) = storage_fails(fd, Fault::FileWrite) {
+        return one_of(plan, &[libc::ENOSPC, libc::EIO]) as ssize_t;
+    }
+    let length = match write_turn(fd) {
+        Turn::Whole => length,
+        Turn::Short(most) => length.min(most),
+        Turn::Failed(error) => return error as ssize_t,
+    };
+    // SAFETY: as in `recv`.
+    unsafe { real!(write: fn(c_int, *const c_void, size_t) -> ssize_t)(fd, buffer, length) }
+}
+
+/// # Safety
+/// As `writev` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    match write_turn(fd) {
+        // SAFETY: as in `readv`.
+        Turn::Short(most) if count > 0 => unsafe {
+            let first = iovec { iov_len: (*parts).iov_len.min(most), ..*parts };
+            real!(writev: fn(c_int, *const iovec, c_int) -> ssize_t)(fd, &raw const first, 1)
+        },
+        Turn::Failed(error) => error as ssize_t,
+        // SAFETY: the caller's arguments.
+        _ => unsafe { real!(writev: fn(c_int, *const iovec, c_int) -> ssize_t)(fd, parts, count) },
+    }
+}
+
+/// # Safety
+/// As `accept4` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if let Some(plan) = Plan::of_process().filter(|plan| plan.strikes(Fault::Accept)) {
+        return one_of(plan, &[libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS]);
+    }
+    // SAFETY: the caller's arguments.
+    unsafe {
+        real!(accept4: fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int)(fd, address, length, flags)
+    }
+}
+
+/// # Safety
+/// As `socket` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    let network = domain == libc::AF_INET;
+    if let Some(plan) = Plan::of_process().filter(|plan| network && plan.strikes(Fault::Socket)) {
+        return one_of(plan, &[libc::ENFILE, libc::ENOBUFS]);
+    }
+    // SAFETY: the caller's arguments.
+    unsafe { real!(socket: fn(c_int, c_int, c_int) -> c_int)(domain, kind, protocol) }
+}
+
+/// # Safety
+/// As `connect` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if let Some(plan) = Plan::of_process().filter(|plan| is_network(fd) && plan.strikes(Fault::Connect)) {
+        return one_of(plan, &[libc::EADDRNOTAVAIL, libc::ENETUNREACH]);
+    }
+    // SAFETY: the caller's arguments.
+    unsafe { real!(connect: fn(c_int, *const sockaddr, socklen_t) -> c_int)(fd, address, length) }
+}
+
+/// # Safety
+/// As `epoll_wait` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(
+    fd: c_int,
+    events: *mut epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    if Plan::of_process().is_some_and(|plan| plan.strikes(Fault::InterruptedWait)) {
+        return fail(libc::EINTR);
+    }
+    // SAFETY: the caller's arguments.
+    unsafe {
+        real!(epoll_wait: fn(c_int, *mut epoll_event, c_int, c_int) -> c_int)(fd, events, most, timeout)
+    }
+}
+
+/// # Safety
+/// As `fsync` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if storage_fails(fd, Fault::FileSync).is_some() {
+        return fail(libc::EIO);
+    }
+    // SAFETY: the caller's argument.
+    unsafe { real!(fsync: fn(c_int) -> c_int)(fd) }
+}
+
+/// # Safety
+/// As `fdatasync` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
+    if storage_fails(fd, Fault::FileSync).is_some() {
+        return fail(libc::EIO);
+    }
+    // SAFETY: the caller's argument.
+    unsafe { real!(fdatasync: fn(c_int) -> c_int)(fd) }
+}
+
+/// # Safety
+/// As `clock_gettime` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's arguments.
+    let got = unsafe { real!(clock_gettime: fn(clockid_t, *mut timespec) -> c_int)(clock, time) };
+    let step = Plan::of_process().map_or(0, Plan::clock_step_ms);
+    if got == 0 && clock == libc::CLOCK_REALTIME && step != 0 && !ptr::eq(time, ptr::null()) {
+        // SAFETY: the call has filled it.
+        unsafe { (*time).tv_sec += step / 1_000 };
+    }
+    got
+}
