Let all bytes of the node go through one socket type that short and interrupted calls don't upset

Cause, confirmed by the red tests: the runtime's wrappers take a read or write of fewer bytes than asked for as a sign that the next would block and wait for an event that never comes (poll_read, poll_write; Session::serve's split halves, caches, hyper's stream, discovery); errors of kind Interrupted ended a session or a look at its client (stream.peek, try_read_buf); an accept that failed for want of anything evicted an idle client. Change: crates/net has Socket (goes on until a call would block, repeats interrupted ones, looks without taking), Listener (passes over connections that are gone) and one table of what an errno means. The node's clients, caches, origin, discovery and operators go through it. Only a want of descriptors evicts; a want of ports or memory is no fault of the server's.

--- a/crates/node/src/clients/absent.rs
+++ b/crates/node/src/clients/absent.rs
@@ -4,11 +4,9 @@
 use std::io;
 use std::time::Duration;
 
-use tokio::io::Interest;
-use tokio::net::TcpStream;
+use stonefold_net::Socket;
 use tokio::time::{Instant, timeout};
 
-use crate::peek::nothing_has_come;
 use crate::stall::StallMonitor;
 
 /// How long a client is waited for that has sent what is not read, after the last byte to it.
@@ -39,9 +37,9 @@
     /// When what was just read came, at the earliest.
     ///
     /// Guards against a request whose time is counted from the end of a stall, though it came in it.
-    pub fn read(&mut self, stream: &TcpStream) -> Instant {
+    pub fn read(&mut self, stream: &Socket) -> Instant {
         let came = self.since.unwrap_or_else(|| self.stalls.earliest_arrival(Instant::now()));
-        if self.since.is_some() && nothing_has_come(stream) {
+        if self.since.is_some() && stream.nothing_has_come() {
             self.since = None;
         }
         came
@@ -52,19 +50,17 @@
 /// it sends something.
 ///
 /// A client that closes its sending side alone counts as gone, as it does when that is read.
-pub async fn gone(stream: &TcpStream, unread: &mut UnreadSince) {
-    let peeked = stream.peek(&mut [0]).await;
-    if peeked.is_ok_and(|bytes| bytes > 0) {
+pub async fn gone(stream: &Socket, unread: &mut UnreadSince) {
+    if stream.has_bytes().await.unwrap_or(false) {
         unread.note();
-        // What it has sent hides the end behind it, but not from the kernel. A socket is not registered for data
-        // of priority, so that this waits for its reading side's end alone.
-        let _ = stream.ready(Interest::PRIORITY).await; // an error is an end
+        // What it has sent hides the end behind it, but not from the kernel.
+        stream.peer_closed().await;
     }
 }
 
 /// Writes, but for no longer than the client is there.
 pub async fn unless_gone(
-    stream: &TcpStream,
+    stream: &Socket,
     unread: &mut UnreadSince,
     write: impl Future<Output = io::Result<()>>,
 ) -> io::Result<()> {
@@ -80,8 +76,8 @@
 ///
 /// Guards against: an answer that the kernel drops. Where a socket is closed with something unread, what it has not
 /// yet sent goes with it.
-pub async fn linger(stream: &TcpStream, unread: &mut UnreadSince) {
-    if !nothing_has_come(stream) {
+pub async fn linger(stream: &Socket, unread: &mut UnreadSince) {
+    if !stream.nothing_has_come() {
         let _ = timeout(LINGER, gone(stream, unread)).await;
     }
 }
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::net::TcpListener;
+use stonefold_net::{Listener, Meaning, meaning};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::warn;
@@ -98,7 +98,7 @@
     }
 
     /// Takes connections until it is aborted.
-    pub async fn accept(self, listener: TcpListener) {
+    pub async fn accept(self, listener: Listener) {
         loop {
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
@@ -107,14 +107,18 @@
                 self.make_room().await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     let session = Session::new(self.clone());
                     self.sessions.spawn(session.run(stream));
                 }
-                // Guards against: an exit, or a busy loop, when descriptors run out.
+                // Guards against: an exit, or a busy loop, when descriptors run out. Only those make a client's place
+                // worth taking.
                 Err(error) => {
                     warn!(event = "accept_failed", front = "clients", %error, "a connection is not taken");
-                    self.make_room().await;
+                    match meaning(&error) {
+                        Meaning::NoDescriptors => self.make_room().await,
+                        _ => sleep(PAUSE).await,
+                    }
                 }
             }
         }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -8,9 +8,8 @@
 use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::RequestId;
+use stonefold_net::{Meaning, Socket, meaning};
 use stonefold_proto::resp::{Malformed, next_frame};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -113,9 +112,9 @@
         }
     }
 
-    pub async fn run(mut self, mut stream: TcpStream) {
+    pub async fn run(mut self, stream: Socket) {
         // Whether it ended by a break or between requests is all one here.
-        let ended = self.serve(&mut stream).await;
+        let ended = self.serve(&stream).await;
         self.presence.end();
         let left = self.owed.is_empty() && ended.is_ok();
         self.note_ending(&ended);
@@ -145,8 +144,9 @@
         let figures = &self.shared.metrics.closed_owing;
         match ended {
             Ok(_) => figures.by_client.add_one(),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => figures.by_client.add_one(),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => figures.by_client.add_one(),
+            Err(error) if matches!(meaning(error), Meaning::PeerGone | Meaning::PathGone) => {
+                figures.by_client.add_one();
+            }
             Err(_) => {
                 figures.by_node.add_one();
                 self.shared.metrics.violations.note(Invariant::NoCloseOwing, &[]);
@@ -162,10 +162,7 @@
         );
     }
 
-    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<Ending> {
-        stream.set_nodelay(true)?;
-        let (reader, mut writer) = stream.split();
-        let client = reader.as_ref(); // read, and looked at, by one reference
+    async fn serve(&mut self, client: &Socket) -> io::Result<Ending> {
         let (closing, budget) = (self.shared.closing.clone(), self.shared.budget.clone());
         let mut slot = None;
         loop {
@@ -173,7 +170,7 @@
             let stopping = closing.used.is_cancelled();
             let parting = stopping && self.asked || closing.silent.is_cancelled();
             if unowed && (self.broken.is_some() || parting && self.buffer.is_empty()) {
-                writer.shutdown().await?;
+                client.shutdown_write()?;
                 return Ok(if self.broken.is_some() { Ending::Malformed } else { Ending::Stopping });
             }
             let idle = unowed.then(|| self.idle_state());
@@ -189,7 +186,7 @@
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
                 biased;
-                read = read(client, &mut self.buffer), if reading && roomy => {
+                read = client.read_buf(&mut self.buffer), if reading && roomy => {
                     let read = read?;
                     if read == 0 {
                         return Ok(Ending::ClosedByClient);
@@ -216,13 +213,13 @@
                     match outgoing {
                         Outgoing::Frame(frame, due) => {
                             let (text, dues) = self.answers(frame, due);
-                            let write = async { timeout(STUCK, writer.write_all(&text)).await? };
+                            let write = async { timeout(STUCK, client.write_all(&text)).await? };
                             unless_gone(client, &mut self.unread, write).await?;
                             dues.iter().for_each(|due| due.check(&self.shared.metrics.violations));
                         }
                         // A long value takes as long as its client and its server make it.
                         Outgoing::Value(stream, _pending) => {
-                            unless_gone(client, &mut self.unread, stream.write_to(&mut writer)).await?;
+                            unless_gone(client, &mut self.unread, stream.write_to(&mut { client })).await?;
                         }
                     }
                     self.recount();
@@ -235,12 +232,12 @@
                     let error = BytesFrame::Error("ERR no whole command".into());
                     let mut text = BytesMut::new();
                     encode(&mut text, &error);
-                    timeout(STUCK, writer.write_all(&text)).await??;
-                    writer.shutdown().await?;
+                    timeout(STUCK, client.write_all(&text)).await??;
+                    client.shutdown_write()?;
                     return Ok(Ending::Silent);
                 }
                 () = IdleSlot::evicted(&mut slot) => {
-                    writer.shutdown().await?;
+                    client.shutdown_write()?;
                     return Ok(Ending::Evicted);
                 }
             }
@@ -423,14 +420,3 @@
         Owed::Refused(answer)
     }
 }
-
-/// Reads what has come. Cancelled, it has read nothing.
-async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
-    loop {
-        stream.readable().await?;
-        match stream.try_read_buf(buffer) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            read => return read,
-        }
-    }
-}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -14,13 +14,13 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 use tracing::warn;
 
+use stonefold_net::Socket;
 use stonefold_proto::list::List;
 
 use crate::message::{Message, Terms};
@@ -207,8 +207,7 @@
 }
 
 async fn connect(at: SocketAddr) -> Result<Client, Cause> {
-    let stream = TcpStream::connect(at).await?;
-    stream.set_nodelay(true)?;
+    let stream = Socket::connect(at).await?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::spawn(async move {
         let _ = connection.await; // a break shows in the call that is out
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -4,6 +4,7 @@
 use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::Instant;
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,6 @@
 mod operator_handler;
 mod order_store;
 pub mod orders;
-mod peek;
 mod presence;
 mod relay;
 mod reload;
@@ -29,6 +28,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use stonefold_net::Listener;
 use stonefold_observe::Dropped;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -131,7 +131,7 @@
         budget,
         stalls: stalls.clone(),
     });
-    let accepting = tokio::spawn(clients.accept(listener));
+    let accepting = tokio::spawn(clients.accept(Listener::new(listener)));
     serving.store(true, Ordering::Relaxed);
     let took = started.elapsed();
     metrics.ready(took);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 use std::{io, str, thread};
 
+use stonefold_net::{Listener, Socket};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 use tracing::{Instrument, info, info_span, warn};
@@ -110,14 +111,14 @@
     if let Ok(at) = listener.local_addr() {
         info!(event = "operator_listening", %at, "operators are served");
     }
-    accept_calls(listener, handler).await;
+    accept_calls(Listener::new(listener), handler).await;
 }
 
-async fn accept_calls(listener: TcpListener, handler: Arc<impl CallHandler>) {
+async fn accept_calls(listener: Listener, handler: Arc<impl CallHandler>) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok(stream) => stream,
             Err(error) => {
                 warn!(event = "accept_failed", front = "operator", %error, "a call is not taken");
                 sleep(PAUSE).await;
@@ -137,7 +138,7 @@
 }
 
 /// One call and its answer.
-async fn answer_call(stream: TcpStream, handler: &impl CallHandler) -> io::Result<()> {
+async fn answer_call(stream: Socket, handler: &impl CallHandler) -> io::Result<()> {
     let mut stream = BufReader::with_capacity(LINE as usize, stream);
     let mut line = Vec::new();
     (&mut stream).take(LINE).read_until(b'\n', &mut line).await?;
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use stonefold_balancer::Outcome;
+use stonefold_net::meaning;
 use tokio::time::{Instant, timeout};
 
-use super::connection::{Connection, out_of_descriptors};
+use super::connection::Connection;
 use super::directory::Target;
 use super::reply::Reply;
 use crate::metrics::Metrics;
@@ -27,8 +28,8 @@
         Some(connection) => connection,
         None => match timeout(connect_timeout, Connection::open(target.addr, target.origin)).await {
             Ok(Ok(connection)) => connection,
-            // Out of descriptors: no fault of the server's.
-            Ok(Err(error)) if out_of_descriptors(&error) => return (Reply::of(Outcome::Ignored), None),
+            // The machine is short of something: no fault of the server's.
+            Ok(Err(error)) if meaning(&error).is_local() => return (Reply::of(Outcome::Ignored), None),
             Ok(Err(_)) | Err(_) => return (Reply::of(Outcome::ConnectError), None),
         },
     };
--- a/crates/node/src/upstream/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -7,15 +7,13 @@
 use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::Outcome;
+use stonefold_net::Socket;
 use stonefold_proto::resp::{Malformed, next_frame};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use super::reply::Reply;
 use super::send_permit::SendPermit;
 use crate::metrics::Metrics;
-use crate::peek::{nothing_has_come, something_has_come};
 use crate::relay::{Left, Pass, STUCK, VALUE_LIMIT, WHOLE, way};
 use crate::request::Command;
 
@@ -25,21 +23,21 @@
 const TAIL: usize = 2 << 10;
 
 /// A connection between requests.
-pub struct Connection(TcpStream);
+pub struct Connection(Socket);
 
 impl Connection {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: Socket) -> Self {
         Connection(stream)
     }
 
     /// Asks the kernel itself: what the runtime has seen of the peer's close may be a moment old.
     pub fn is_live(&self) -> bool {
-        nothing_has_come(&self.0)
+        self.0.nothing_has_come()
     }
 
     /// Whether the server has said something unasked, a second copy of its answer say.
     pub fn has_unasked(&self) -> bool {
-        something_has_come(&self.0)
+        self.0.something_has_come()
     }
 
     /// Sends one request, which states the time left until its deadline, and waits for its answer.
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use tokio::net::TcpStream;
+use stonefold_net::Socket;
 
 use super::{caches, origin};
 
@@ -16,7 +16,7 @@
 impl Connection {
     /// Connects to a cache, or to the origin.
     pub async fn open(addr: SocketAddr, origin: bool) -> io::Result<Connection> {
-        let stream = dial(addr).await?;
+        let stream = Socket::connect(addr).await?;
         Ok(match origin {
             false => Connection::Cache(caches::Connection::new(stream)),
             true => Connection::Origin(origin::Connection::new(stream).await?),
@@ -39,14 +39,3 @@
         }
     }
 }
-
-async fn dial(addr: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(addr).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
-/// EMFILE or ENFILE, which the standard library gives no kind.
-pub fn out_of_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(23 | 24))
-}
--- a/crates/node/src/upstream/last_write.rs
+++ b/crates/node/src/upstream/last_write.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 
+use stonefold_net::Socket;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// When a stream last handed bytes to the kernel. Clones share one value.
@@ -26,12 +26,12 @@
 
 /// A TCP stream that notes its writes in a [`LastWrite`].
 pub struct NotedStream {
-    stream: TcpStream,
+    stream: Socket,
     last_write: LastWrite,
 }
 
 impl NotedStream {
-    pub fn new(stream: TcpStream, last_write: LastWrite) -> NotedStream {
+    pub fn new(stream: Socket, last_write: LastWrite) -> NotedStream {
         NotedStream { stream, last_write }
     }
 
--- a/crates/node/src/upstream/origin.rs
+++ b/crates/node/src/upstream/origin.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use stonefold_balancer::Outcome;
-use tokio::net::TcpStream;
+use stonefold_net::Socket;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
@@ -52,7 +52,7 @@
 }
 
 impl Connection {
-    pub async fn new(stream: TcpStream) -> io::Result<Self> {
+    pub async fn new(stream: Socket) -> io::Result<Self> {
         let last_write = LastWrite::default();
         let stream = NotedStream::new(stream, last_write.clone());
         let (sender, connection) = http1::Builder::new()
