--- a/crates/cli/tests/membership.rs
+++ b/crates/cli/tests/membership.rs
@@ -1,6 +1,8 @@
 //! Membership among several processes of the program, with faults on the links between them: judged by what the
 //! processes themselves say, with bounded waits.
 
+#[path = "common/addresses.rs"]
+mod addresses;
 #[path = "common/fakes.rs"]
 mod fakes;
 
@@ -11,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use addresses::free_address;
 use fakes::PATIENCE;
 use stonefold_emulator::{DatagramLinks, LinkRule};
 use tokio::runtime::Runtime;
@@ -49,10 +52,6 @@
     }
 }
 
-fn free_datagram_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn name(n: usize) -> String {
     format!("n{n}")
 }
@@ -70,7 +69,7 @@
     /// So many nodes that know each other.
     fn start(count: usize) -> Fleet {
         let runtime = Runtime::new().unwrap();
-        let listen: Vec<SocketAddr> = (0..count).map(|_| free_datagram_address()).collect();
+        let listen: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
         let links = runtime.block_on(DatagramLinks::start(listen.clone(), 1)).unwrap();
         let dir = tempfile::tempdir().unwrap();
         std::fs::write(dir.path().join("key"), format!("{}\n", "5a".repeat(32))).unwrap();
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,5 +1,7 @@
 //! The program from outside: its commands, its exit codes, its own configuration file.
 
+#[path = "common/addresses.rs"]
+mod addresses;
 #[path = "common/fakes.rs"]
 mod fakes;
 
@@ -8,6 +10,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
 
+use addresses::free_address;
 use fakes::*;
 
 fn stonefold(args: &[&str]) -> Output {
@@ -221,16 +224,11 @@
     assert!(code == 1 && err.contains(&format!("cannot listen at {at}")), "{err}");
 }
 
-/// A port that is free now.
-fn free_port() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 #[test]
 fn a_full_disk_under_the_log_is_nobodys_trouble() {
     let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
     let dir = tempfile::tempdir().unwrap();
-    let (file, at) = (dir.path().join("node.toml"), free_port());
+    let (file, at) = (dir.path().join("node.toml"), free_address());
     std::fs::write(&file, own_file(cache.addr, origin.addr, discovery.addr)).unwrap();
     let listen = format!("node.listen={at}");
     let mut node = program(r#"exec "$0" node --config "$FILE" --set "$LISTEN" --log debug 2>/dev/full"#)
--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -1,23 +1,21 @@
 //! Nodes that keep their state together: three processes with a store each, killed and started again.
 
+#[path = "common/addresses.rs"]
+mod addresses;
 #[path = "common/fakes.rs"]
 mod fakes;
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use addresses::free_address;
 use fakes::*;
 
 const CACHE: &str = "s-5be2a07c";
 
-/// An address that nobody listens at now.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn stonefold(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_stonefold")).env_clear().args(args).output().unwrap()
 }
@@ -83,7 +81,7 @@
     fn new(members: usize) -> Site {
         let dir = tempfile::tempdir().unwrap();
         let key = dir.path().join("key");
-        let stores: Vec<SocketAddr> = (0..members).map(|_| free()).collect();
+        let stores: Vec<SocketAddr> = (0..members).map(|_| free_address()).collect();
         let mut site = Site { dir, key, stores, cluster: String::new() };
         site.cluster = site.init(0, None).trim().to_owned();
         (1..members).for_each(|n| _ = site.init(n, Some(&site.cluster)));
@@ -237,9 +235,9 @@
 fn what_one_node_learns_all_know_and_still_do_after_all_were_killed_at_once() {
     let site = Site::new(3);
     let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
-    let other = free(); // it is out of use all the time
+    let other = free_address(); // it is out of use all the time
     let known = list(41, &[(CACHE, other), ("s-11d0c3f9", cache.addr)], origin.addr);
-    let nobody = free();
+    let nobody = free_address();
     // One node's discovery answers; the others' do not, and never will.
     let mut nodes = vec![site.start(0, discovery.addr, "10s")];
     nodes.extend((1..3).map(|n| site.start(n, nobody, "0s")));
@@ -306,13 +304,13 @@
 fn a_node_goes_on_from_its_own_disk_without_a_quorum_and_serves() {
     let site = Site::new(2);
     let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
-    let mut nodes = vec![site.start(0, discovery.addr, "10s"), site.start(1, free(), "0s")];
+    let mut nodes = vec![site.start(0, discovery.addr, "10s"), site.start(1, free_address(), "0s")];
     answering(discovery, list(41, &[(CACHE, cache.addr)], origin.addr));
     site.store(0, &["store", "add", "2", &site.stores[1].to_string()]);
     nodes[1].until("svc_hosts_listed", "1");
     nodes.clear();
     // Its start waits for the other, and not for good.
-    let alone = site.start(1, free(), "2s");
+    let alone = site.start(1, free_address(), "2s");
     alone.until("svc_hosts_listed", "1");
     let ready: f64 = alone.figure("svc_ready_seconds").parse().unwrap();
     assert!((2.0..10.0).contains(&ready), "the wait counts, and is short: {ready}");
@@ -324,7 +322,7 @@
 #[test]
 fn documents_have_a_history_go_back_and_move_to_another_cluster() {
     let (site, other) = (Site::new(1), Site::new(1));
-    let nodes = [site.start(0, free(), "10s"), other.start(0, free(), "10s")];
+    let nodes = [site.start(0, free_address(), "10s"), other.start(0, free_address(), "10s")];
     let file = |text: &str| {
         let file = site.path("text");
         std::fs::write(&file, text).unwrap();
@@ -384,7 +382,7 @@
             "[store]\nrole = \"subscriber\"\ndir = \"{dir}\"\ncluster = \"{cluster}\"\nkey_file = \"{key}\"\n\
              publishers = [[\"{publishers}\"]]\nwait = \"{wait}\"\n{listen}"
         );
-        site.start_file(&format!("follows{n}.toml"), &format!("{}\n{store}", own(free())))
+        site.start_file(&format!("follows{n}.toml"), &format!("{}\n{store}", own(free_address())))
     };
     let relay = follows(1, site.stores[0], "listen = \"127.0.0.1:0\"\n", "10s");
     let relay_at = relay.relay.unwrap();
@@ -451,7 +449,7 @@
     let emulator = runtime.block_on(started).unwrap();
     let stores = Site::new(3);
     // Each comes back where it was: the load goes on to the same addresses.
-    let (clients, any) = ([0; 3].map(|_| free()), "127.0.0.1:0".parse().unwrap());
+    let (clients, any) = ([0; 3].map(|_| free_address()), "127.0.0.1:0".parse().unwrap());
     let config = |n: usize| toml::to_string(&emulator.config(n, clients[n], Some(any)).unwrap()).unwrap();
     let start = |n: usize, wait: &str| stores.start_with(n, &config(n), wait);
     let mut nodes = [Some(start(0, "10s")), Some(start(1, "0s")), Some(start(2, "0s"))];
