Soak many real nodes under faults that overlap, judged from outside and by their own counts

The emulator's load knows nodes that end or were killed. A short run is a test of the program's crate.

--- /dev/null
+++ b/crates/cli/tests/soak.rs
@@ -0,0 +1,31 @@
+//! A short run of the randomized faults on real processes: ten nodes, two seeds, no rule broken. The long one is
+//! `stonefold-soak`.
+
+use std::path::Path;
+use std::time::Duration;
+
+use stonefold_faults::library_beside;
+use stonefold_soak::{Options, play};
+
+const SEEDS: [u64; 2] = [11, 12];
+
+#[test]
+fn no_rule_is_broken_under_faults_that_overlap() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let library = library_beside(&std::env::current_exe().unwrap()).expect("built with this test");
+    for seed in SEEDS {
+        let options = Options {
+            program: Path::new(env!("CARGO_BIN_EXE_stonefold")).to_owned(),
+            library: library.clone(),
+            seed,
+            nodes: 10,
+            lasts: Duration::from_secs(6),
+            rate: 200.0,
+        };
+        let report = runtime.block_on(play(options)).unwrap();
+        println!("{report}");
+        assert!(report.events > 10, "{report}");
+        assert!(report.summary.served > report.summary.requests / 2, "{report}");
+        assert!(report.is_clean(), "{report}");
+    }
+}
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -113,6 +114,8 @@
 pub struct Load {
     world: Arc<World>,
     nodes: Vec<SocketAddr>,
+    /// How each node's process stands.
+    processes: Vec<Process>,
     /// Idle connections to each node, the most recently used last.
     idle: Vec<Mutex<VecDeque<TcpStream>>>,
     figures: Mutex<(Figures, Figures)>,
@@ -120,6 +123,15 @@
     out: Semaphore,
 }
 
+/// How a node's process stands, as the front that deals out connections knows it.
+#[derive(Default)]
+struct Process {
+    /// It gets no new connections: it was told to end, or is not there.
+    closed: AtomicBool,
+    /// How often it was killed.
+    kills: AtomicU64,
+}
+
 /// A try's number is its request's, with how often it was asked before from this bit on.
 const TRIES: u32 = 48;
 
@@ -127,9 +139,35 @@
     /// A load on these nodes, from the clients of an emulator's site.
     pub fn new(emulator: &Emulator, nodes: Vec<SocketAddr>) -> Arc<Load> {
         let idle = nodes.iter().map(|_| Mutex::default()).collect();
+        let processes = nodes.iter().map(|_| Process::default()).collect();
         let (world, figures) = (emulator.world.clone(), Mutex::default());
         let retries = Mutex::new(Retries::new(world.site.retry.clone(), world.site.seed.get() as u64));
-        Arc::new(Load { world, nodes, idle, figures, retries, out: Semaphore::new(MOST_OUT) })
+        Arc::new(Load { world, nodes, processes, idle, figures, retries, out: Semaphore::new(MOST_OUT) })
+    }
+
+    /// The front deals a node no new connections from now on; those that are open stay in use.
+    pub fn close_node(&self, node: usize) {
+        self.processes[node].closed.store(true, Ordering::Relaxed);
+    }
+
+    /// A node's process is about to be killed: what it has in hand is owed by nobody. Called before the kill.
+    pub fn node_killed(&self, node: usize) {
+        self.close_node(node);
+        self.processes[node].kills.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A node serves again.
+    pub fn open_node(&self, node: usize) {
+        locked(&self.idle[node]).clear();
+        self.processes[node].closed.store(false, Ordering::Relaxed);
+    }
+
+    fn is_open(&self, node: usize) -> bool {
+        !self.processes[node].closed.load(Ordering::Relaxed)
+    }
+
+    fn kills(&self, node: usize) -> u64 {
+        self.processes[node].kills.load(Ordering::Relaxed)
     }
 
     /// The figures from the start, and those since this was last asked.
@@ -174,8 +212,9 @@
     async fn ask(&self, ask: &Ask, at: Micros) {
         // Nodes are dealt over the zones in turn; a zone's clients go to its nodes.
         let zones = self.world.site.network.zones.len().max(1);
-        let there: Vec<usize> =
-            (0..self.nodes.len()).filter(|node| node % zones == ask.zone % zones).collect();
+        let there: Vec<usize> = (0..self.nodes.len())
+            .filter(|&node| node % zones == ask.zone % zones && self.is_open(node))
+            .collect();
         let node = match there.is_empty() {
             true => ask.number as usize % self.nodes.len(),
             false => there[ask.number as usize % there.len()],
@@ -208,6 +247,19 @@
     /// One request; the judge is told of it once it has been sent whole. A kept connection that the node closes
     /// may cross a request which the node has not read: that is sent once more, on a new connection.
     async fn exchange(&self, ask: &Ask, number: u64, node: usize, until: Micros) -> Said {
+        let kills = self.kills(node);
+        let said = self.exchange_with(ask, number, node, until).await;
+        said.unwrap_or_else(|| {
+            match self.kills(node) == kills {
+                true => self.world.judge().abandoned(number),
+                false => self.world.judge().excused(number),
+            }
+            Said::failed()
+        })
+    }
+
+    /// As above; nothing if the connection ended, or the time, with no whole answer.
+    async fn exchange_with(&self, ask: &Ask, number: u64, node: usize, until: Micros) -> Option<Said> {
         let id = format!("{number:016x}");
         let key = request::key(ask.key);
         let command = self.command(ask, &id, &key, until);
@@ -222,10 +274,13 @@
                 }
             }
         }
-        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Said::failed() };
+        if !self.is_open(node) {
+            return Some(Said::failed());
+        }
+        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Some(Said::failed()) };
         let _ = fresh.set_nodelay(true); // slower without, no worse
         if fresh.write_all(&command).await.is_err() {
-            return Said::failed();
+            return Some(Said::failed());
         }
         self.world.judge().asked(number, until);
         let heard = self.answer(&mut fresh, until).await;
@@ -249,26 +304,27 @@
         timeout(wait, read(stream)).await.unwrap_or(Heard::Nothing)
     }
 
-    fn judged(&self, heard: Heard, request: u64, of: (&str, &str), node: usize, stream: TcpStream) -> Said {
-        let mut judge = self.world.judge();
+    /// What was said; nothing if there was no whole answer.
+    fn judged(
+        &self,
+        heard: Heard,
+        request: u64,
+        of: (&str, &str),
+        node: usize,
+        stream: TcpStream,
+    ) -> Option<Said> {
         match heard {
             Heard::Answer { frame, more } => {
+                let mut judge = self.world.judge();
                 let said = judged(&frame, of.0, of.1);
                 judge.answered(self.world.now(), request, said.answer);
                 match more {
                     true => judge.unasked(),
                     false => locked(&self.idle[node]).push_back(stream),
                 }
-                said
-            }
-            Heard::Closed | Heard::Broken => {
-                judge.abandoned(request);
-                Said::failed()
-            }
-            Heard::Nothing => {
-                judge.close(self.world.now());
-                Said::failed()
+                Some(said)
             }
+            Heard::Closed | Heard::Broken | Heard::Nothing => None,
         }
     }
 
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// The node's process was killed with the request in hand: nobody owes it an answer any more.
+    pub fn excused(&mut self, request: u64) {
+        self.open.remove(&request);
+    }
+
     /// Something came on a connection on which nothing was owed: an answer too many.
     pub fn unasked(&mut self) {
         self.verdict.doubled += 1;
