--- a/crates/soak/src/player.rs
+++ b/crates/soak/src/player.rs
@@ -171,7 +171,7 @@
             Action::Stall(lasts) => self.stall(node, lasts).await,
             Action::Terminate => self.terminate(node).await,
             Action::Kill => self.kill(node).await,
-            Action::Reload => self.signal(node, Signal::HUP).await,
+            Action::Reload => self.reload(node).await,
             Action::Calls { fault, rate, lasts } => self.fail_calls(node, fault, rate, lasts).await,
             Action::ClockStep(ms) => _ = node.place.plan.step_clock(ms),
             // Which servers it befalls is drawn by the emulator; a fault that finds none is none.
@@ -179,16 +179,18 @@
         }
     }
 
-    async fn signal(&self, node: &Node, signal: Signal) {
+    async fn reload(&self, node: &Node) {
         if let Some(process) = &*node.process.lock().await {
-            process.signal(signal);
+            process.signals().send(Signal::HUP);
         }
     }
 
+    /// Word to end may come in a stall: the process is not held while it lasts.
     async fn stall(&self, node: &Node, lasts: Duration) {
-        self.signal(node, Signal::STOP).await;
+        let Some(signals) = node.process.lock().await.as_ref().map(Process::signals) else { return };
+        signals.send(Signal::STOP);
         sleep(lasts).await;
-        self.signal(node, Signal::CONT).await;
+        signals.send(Signal::CONT);
     }
 
     async fn fail_calls(&self, node: &Node, fault: CallFault, rate: f64, lasts: Duration) {
@@ -204,7 +206,7 @@
         let Some(mut ending) = process.take() else { return };
         self.check_alive(node, &mut ending).await;
         self.count_violations(node).await;
-        ending.signal(Signal::TERM);
+        ending.signals().send(Signal::TERM);
         sleep(STILL_DEALT).await;
         self.load.close_node(node.number);
         match ending.ends_within(KILLED_AFTER - STILL_DEALT).await {
@@ -227,7 +229,7 @@
 
     async fn end_by_kill(&self, node: &Node, process: &mut Process) {
         self.load.node_killed(node.number);
-        process.signal(Signal::KILL);
+        process.signals().send(Signal::KILL);
         let _ = process.ends_within(READY_WITHIN).await;
     }
 
@@ -250,9 +252,9 @@
             let Some(mut ending) = process.take() else { continue };
             self.check_alive(node, &mut ending).await;
             self.count_violations(node).await;
-            ending.signal(Signal::TERM);
+            ending.signals().send(Signal::TERM);
             if ending.ends_within(KILLED_AFTER).await.is_none() {
-                ending.signal(Signal::KILL);
+                ending.signals().send(Signal::KILL);
             }
         }
     }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,13 +1,15 @@
 //! One node's process: how it starts, is signalled, asked and ends.
 
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, PidfdFlags, Signal, pidfd_open, pidfd_send_signal};
 use stonefold_faults::FaultPlan;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -32,9 +34,29 @@
     pub plan: FaultPlan,
 }
 
+/// A way to signal a process, which outlives it.
+#[derive(Clone)]
+pub struct Signals(Arc<OwnedFd>);
+
+impl Signals {
+    fn of(child: &Child) -> Result<Signals, SoakError> {
+        let id = child.id().and_then(|id| Pid::from_raw(id as i32));
+        let id = id.ok_or_else(|| SoakError::io("signal a node")(io::ErrorKind::NotFound.into()))?;
+        let handle = pidfd_open(id, PidfdFlags::empty());
+        Ok(Signals(Arc::new(handle.map_err(|error| SoakError::io("signal a node")(error.into()))?)))
+    }
+
+    /// Sends a signal; nothing if the process has ended.
+    pub fn send(&self, signal: Signal) {
+        let _ = pidfd_send_signal(&self.0, signal); // it may end meanwhile
+    }
+}
+
 /// A running process, killed when it is dropped.
 pub struct Process {
     child: Child,
+    /// Signals reach this process alone, also once its number is another's.
+    handle: Signals,
     log: Arc<Mutex<VecDeque<String>>>,
     serves: watch::Receiver<bool>,
 }
@@ -54,6 +76,7 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(SoakError::io("start a node"))?;
+        let handle = Signals::of(&child)?;
         let (told, serves) = watch::channel(false);
         let log: Arc<Mutex<VecDeque<String>>> = Arc::default();
         let (kept, lines) = (log.clone(), child.stderr.take());
@@ -71,7 +94,7 @@
                 kept.push_back(line);
             }
         });
-        Ok(Process { child, log, serves })
+        Ok(Process { child, handle, log, serves })
     }
 
     /// Waits until it serves; tells whether it did in this time.
@@ -79,12 +102,9 @@
         matches!(timeout(time, self.serves.wait_for(|serves| *serves)).await, Ok(Ok(_)))
     }
 
-    /// Sends a signal; nothing if it has ended.
-    pub fn signal(&self, signal: Signal) {
-        let id = self.child.id().and_then(|id| Pid::from_raw(id as i32));
-        if let Some(id) = id {
-            let _ = kill_process(id, signal); // it may end meanwhile
-        }
+    /// A way to signal it, also while another task waits for its end.
+    pub fn signals(&self) -> Signals {
+        self.handle.clone()
     }
 
     /// How it ended, if it has.
