Count a start from when it is told while the node runs, whatever the wall clock says

Cause: Clock::new added the wall clock of our own start once, Balancer::cold_since compared started_ms with it; an hour ahead a server that started a second ago was warm, an hour behind cold for the hour. ENABLE's time was taken likewise. Change: a start or an ENABLE told while the process runs counts from then, by the monotonic clock; in the first lists a start that lies ahead shows by how much our clock is behind. An ahead clock can't be told in a first list (starts.rs).

--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -30,6 +30,7 @@
 use crate::request::{ANSWER_RESERVE, Answer};
 use crate::shared::Ledger;
 use crate::upstream::directory::Directory;
+use crate::upstream::starts::ListDate;
 
 /// The timers' queue panics at times of some years, which odd settings could ask for.
 const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
@@ -77,6 +78,8 @@
     /// Guards against a stall between two readings of the clock, which would make all that is due later by as much.
     now: Instant,
     directory: Directory,
+    /// Whether discovery has answered: what it tells from then on has happened while this process ran.
+    answered: bool,
     open: HashMap<RequestId, Open>,
     budget: Budget,
     /// Attempts under way: each holds a connection, or is making one.
@@ -110,6 +113,7 @@
             clock,
             now,
             directory,
+            answered: false,
             open: HashMap::new(),
             budget,
             running: 0,
@@ -127,7 +131,7 @@
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.count_later();
-        driver.apply_orders(orders);
+        driver.apply_orders(orders, None);
         let known = List { full: true, ..config.known };
         if driver.ledger.as_mut().is_none_or(|ledger| ledger.enter(&known)) {
             driver.list(known);
@@ -194,7 +198,7 @@
                 let _ = answer.send(terms);
             }
             Control::Orders(orders, done) => {
-                self.apply_orders(orders);
+                self.apply_orders(orders, Some(self.clock.at(self.now)));
                 self.decide();
                 let _ = done.map(|done| done.send(()));
             }
@@ -210,8 +214,9 @@
         Terms::of(&self.setup)
     }
 
-    /// Brings into force what differs from the orders so far.
-    fn apply_orders(&mut self, orders: Orders) {
+    /// Brings into force what differs from the orders so far. Those given while the process runs count from when they
+    /// were told; of others the wall clock alone tells when it was.
+    fn apply_orders(&mut self, orders: Orders, told: Option<Micros>) {
         for (name, order) in &orders {
             let before = self.orders.get(name);
             if before == Some(order) {
@@ -221,7 +226,10 @@
             let server = self.directory.ban(name, order.out);
             let event = match order.out {
                 true => Event::Disable(server),
-                false => Event::Enable { server, since: micros(order.since_ms as f64) },
+                false => {
+                    let since = told.unwrap_or(micros(order.since_ms as f64));
+                    Event::Enable { server, since }
+                }
             };
             let (event_name, words) = match order.out {
                 true => ("server_out", "out of use by hand"),
@@ -244,6 +252,7 @@
                 if self.ledger.as_mut().is_none_or(|ledger| ledger.enter(&list)) {
                     self.list(list);
                 }
+                self.answered = true;
             }
             // The watch comes again by itself; the list stays as it was.
             Message::ListFailed => self.metrics.list_failures.add_one(),
@@ -308,7 +317,9 @@
 
     fn list(&mut self, list: List) {
         let scope = if list.full { ListScope::Full } else { ListScope::Delta };
-        let members = self.directory.apply(list, &mut self.setup);
+        let now = self.clock.at(self.now);
+        let dated = if self.answered { ListDate::Later(now) } else { ListDate::First(now) };
+        let members = self.directory.apply(list, dated, &mut self.setup);
         self.events.push_back(Event::Members { scope, members });
     }
 
--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stonefold_balancer::setup::{Setup, micros};
-use stonefold_balancer::{Member, MemberState, ServerId};
+use stonefold_balancer::setup::Setup;
+use stonefold_balancer::{Member, MemberState, Micros, ServerId};
 use stonefold_proto::list::{Entry, List, State};
 use tokio::time::Instant;
 use tracing::{info, trace};
@@ -15,6 +15,7 @@
 
 use super::connection::Connection;
 use super::send_permit::{SendConditions, SendPermit, ServingFlag};
+use super::starts::{ListDate, Starts};
 use crate::metrics::Metrics;
 
 /// A connection rests for so long before it is used again, if another can be.
@@ -41,6 +42,8 @@
     /// As it was last listed, for what is said of changes.
     state: MemberState,
     started_ms: f64,
+    /// The same start as the module has it.
+    started: Option<Micros>,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, Connection)>,
 }
@@ -77,8 +80,8 @@
         self.idle_limit = keepalive * 9 / 10;
     }
 
-    /// Takes over a list; tells the module's view of its entries.
-    pub fn apply(&mut self, mut list: List, setup: &mut Setup) -> Vec<Member> {
+    /// Takes over a list, as it is dated; tells the module's view of its entries.
+    pub fn apply(&mut self, mut list: List, dated: ListDate, setup: &mut Setup) -> Vec<Member> {
         // In order of their names: ids that collide come out alike at every node.
         list.servers.sort_by(|a, b| a.id.cmp(&b.id));
         if list.full {
@@ -93,10 +96,11 @@
                 }
             });
         }
-        list.servers.into_iter().map(|entry| self.enter(entry, setup)).collect()
+        let starts = Starts::new(&list.servers, dated);
+        list.servers.into_iter().map(|entry| self.enter(entry, &starts, setup)).collect()
     }
 
-    fn enter(&mut self, entry: Entry, setup: &mut Setup) -> Member {
+    fn enter(&mut self, entry: Entry, starts: &Starts, setup: &mut Setup) -> Member {
         let id = self.id_of(&entry.id);
         let origin = setup.is_origin(&entry.kind);
         let state = match entry.state {
@@ -113,8 +117,13 @@
             serving: ServingFlag::new(),
             state,
             started_ms: entry.started_ms,
+            started: starts.of(entry.started_ms),
             idle: Vec::new(),
         });
+        if server.started_ms != entry.started_ms {
+            server.started = starts.of(entry.started_ms);
+        }
+        let started = server.started;
         server.origin = origin;
         if server.addr != entry.addr {
             server.addr = entry.addr;
@@ -142,7 +151,7 @@
             cell: entry.cell,
             kind: setup.kind(Cow::Owned(entry.kind)),
             weight: entry.weight.unwrap_or(1.0),
-            started: Some(entry.started_ms).filter(|&t| t > 0.0).map(micros),
+            started,
             origin,
         }
     }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -8,3 +8,4 @@
 mod origin;
 pub mod reply;
 pub mod send_permit;
+pub mod starts;
