--- a/crates/faults-preload/src/plan.rs
+++ b/crates/faults-preload/src/plan.rs
@@ -13,7 +13,6 @@
 /// A mapped plan.
 pub struct Plan {
     base: NonNull<u8>,
-    drawn: AtomicU64,
 }
 
 // SAFETY: the mapping lasts as long as the process, and all of it is read and written as atomic numbers.
@@ -49,9 +48,7 @@
             }
             base
         };
-        let plan = Plan { base: NonNull::new(base.cast())?, drawn: AtomicU64::new(0) };
-        plan.drawn.store(plan.number(0).load(Ordering::Relaxed), Ordering::Relaxed);
-        Some(plan)
+        Some(Plan { base: NonNull::new(base.cast())? })
     }
 
     /// The number that stands at this place, in bytes from the start.
@@ -61,10 +58,11 @@
         unsafe { self.base.add(at).cast::<AtomicU64>().as_ref() }
     }
 
-    /// A random number below a bound. The same seed draws the same numbers, in the order of the calls.
+    /// A random number below a bound. The same seed draws the same numbers, in the order of the calls; the next process
+    /// under a plan goes on where the one before it ended.
     pub fn below(&self, bound: u64) -> u64 {
         // SplitMix64.
-        let state = self.drawn.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        let state = self.number(0).fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
         let mut z = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
