Wait out files and sockets that fail for a moment, at the start and for orders

Cause: handover::listener and read_json tried once; OrderFile::change tried once, in a write for each part of the text; a read that failed at the start was taken for no orders, and one that failed later was not made again until the next change. Change: what may pass (EIO, ENOSPC, a want of descriptors, ports or memory) is tried again for 1.2 s every 20 ms; the file is written anew, in one write, at each try; orders that could not be read are read as soon as they can be. Serving never waits for an order's write: operators have a thread of their own.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -16,6 +16,7 @@
 use crate::bounds::Bounds;
 use crate::handover;
 use crate::membership::MembershipConfig;
+use crate::momentary::until_done_blocking;
 use crate::operator::CALLERS;
 use crate::relay::Budget;
 use crate::shared::Shared;
@@ -152,7 +153,8 @@
 }
 
 fn read_json(path: String) -> Result<(String, Value), ConfigError> {
-    let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+    let text = until_done_blocking(|| fs::read_to_string(&path))
+        .map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
     match serde_json::from_str(&text) {
         Ok(value) => Ok((path, value)),
         Err(error) => Err(ConfigError::Malformed(path, error)),
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -8,8 +8,12 @@
 use std::{env, io};
 
 use socket2::Socket;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
+use crate::momentary::until_done;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Names the descriptor of the passed socket.
 const PASSED: &str = "EDGE_PASSED_SOCKET";
 
@@ -42,10 +46,20 @@
             let fd = text.parse().ok().filter(|&fd| fd >= 0).ok_or(ListenError::Number(text.into()))?;
             passed(fd, at)
         }
-        None => TcpListener::bind(at).await.map_err(|error| ListenError::Bind(at, error)),
+        None => {
+            let bound = until_done(|| bind(at)).await;
+            bound.map_err(|error| ListenError::Bind(at, error))
+        }
     }
 }
 
+fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?; // connections of the process before may linger
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Takes over a listening socket, if it is one at this address. Port 0 stands for any.
 fn passed(fd: RawFd, at: SocketAddr) -> Result<TcpListener, ListenError> {
     let failed = |error| ListenError::Passed(fd, error);
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -66,7 +66,7 @@
     let limit = config.server_connections();
     let mut driver = Driver::new(config, limit, wiring, store.load().unwrap_or_else(|_| Orders::new()));
     let _following =
-        AbortOnDropHandle::new(tokio::spawn(order_store::follow(store, control, sender.clone())));
+        AbortOnDropHandle::new(tokio::spawn(order_store::follow(store, false, control, sender.clone())));
     let _watching = AbortOnDropHandle::new(tokio::spawn(watching.run(address)));
     acted(Acted { version, driver: &driver });
     loop {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 mod message;
 mod metrics;
+mod momentary;
 mod operator;
 mod operator_handler;
 mod order_store;
@@ -34,7 +35,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::task::TaskTracker;
-use tracing::{error, info};
+use tracing::info;
 
 use config::Config;
 use driver::{Driver, Wiring};
@@ -43,7 +44,7 @@
 use metrics::Metrics;
 use operator_handler::OperatorHandler;
 use order_store::OrderStore;
-use orders::{OrderFile, Orders};
+use orders::OrderFile;
 use reload::Follower;
 use stall::StallMonitor;
 use stopping::Plan;
@@ -78,11 +79,8 @@
     let in_file = || OrderStore::File(OrderFile::of_node());
     let store = Arc::new(shared.clone().map_or_else(in_file, OrderStore::Shared));
     store.changed();
-    let orders = store.load().unwrap_or_else(|error| {
-        error!(event = "orders_unreadable", %error, "no orders are in force");
-        Orders::new()
-    });
-    tokio::spawn(order_store::follow(store.clone(), control.clone(), sender.clone()));
+    let (orders, unread) = store.load_at_start().await;
+    tokio::spawn(order_store::follow(store.clone(), unread, control.clone(), sender.clone()));
     let (operator, membership) = (config.operator, config.membership.take());
     let (budget, started) = (config.relay_budget(), config.started);
     let file = std::mem::take(&mut config.file);
--- a/crates/node/src/order_store.rs
+++ b/crates/node/src/order_store.rs
@@ -9,6 +9,7 @@
 use tracing::error;
 
 use crate::message::{Control, Message};
+use crate::momentary::{Momentary, until_done};
 use crate::orders::{Order, OrderFile, Orders, StateError, now_ms};
 use crate::shared::Shared;
 
@@ -32,6 +33,18 @@
         }
     }
 
+    /// The orders that a process starts with, and whether they are yet to be read: what can't be read now is no word
+    /// that there are none.
+    pub async fn load_at_start(&self) -> (Orders, bool) {
+        match until_done(|| self.load()).await {
+            Ok(orders) => (orders, false),
+            Err(error) => {
+                error!(event = "orders_unreadable", %error, "no orders are in force");
+                (Orders::new(), error.is_momentary())
+            }
+        }
+    }
+
     /// Whether the orders may have changed since this was last asked.
     pub fn changed(&self) -> bool {
         match self {
@@ -44,11 +57,14 @@
     pub async fn order(&self, id: String, out: bool) -> Result<Orders, StateError> {
         let order = Order { out, since_ms: now_ms() };
         match self {
-            OrderStore::File(file) => file.change(|orders| {
-                if changes(orders, &id, out) {
-                    orders.insert(id, order);
-                }
-            }),
+            OrderStore::File(file) => {
+                let change = |orders: &mut Orders| {
+                    if changes(orders, &id, out) {
+                        orders.insert(id.clone(), order);
+                    }
+                };
+                until_done(|| file.change(change)).await
+            }
             OrderStore::Shared(shared) => {
                 if changes(&shared.orders(), &id, out) {
                     shared.order(id, order).await.map_err(StateError::Shared)?;
@@ -64,19 +80,31 @@
     orders.get(id).map_or(out, |order| order.out != out)
 }
 
-/// Passes on what other processes or nodes have changed, until the node ends.
-pub async fn follow(store: Arc<OrderStore>, control: mpsc::Sender<Control>, to: UnboundedSender<Message>) {
+/// Passes on what other processes or nodes have changed, until the node ends. `unread` tells that what was there at the
+/// start could not be read.
+pub async fn follow(
+    store: Arc<OrderStore>,
+    mut unread: bool,
+    control: mpsc::Sender<Control>,
+    to: UnboundedSender<Message>,
+) {
     loop {
         sleep(POLL_INTERVAL).await;
-        if store.changed() {
+        if store.changed() || unread {
             if let OrderStore::Shared(shared) = &*store
                 && let Some(list) = shared.newer_list()
             {
                 let _ = to.send(Message::List(list)); // nobody to tell at the end
             }
             match store.load() {
-                Ok(orders) => _ = control.send(Control::Orders(orders, None)).await, // nobody to tell at the end
-                Err(error) => error!(event = "orders_unreadable", %error, "those in force stay"),
+                Ok(orders) => {
+                    unread = false;
+                    let _ = control.send(Control::Orders(orders, None)).await; // nobody to tell at the end
+                }
+                Err(error) => {
+                    error!(event = "orders_unreadable", %error, "those in force stay");
+                    unread = error.is_momentary();
+                }
             }
         }
     }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::momentary::Momentary;
+
 /// The form of the file. One of another version is not read.
 const VERSION: u32 = 1;
 /// An order that put a server back is forgotten after this time, in ms: it is warm by then.
@@ -59,6 +61,12 @@
     }
 }
 
+impl Momentary for StateError {
+    fn is_momentary(&self) -> bool {
+        matches!(self, StateError::Io(_, error) if error.is_momentary())
+    }
+}
+
 /// When the file was last written, as far as its name and times tell.
 #[derive(Clone, PartialEq, Eq, Debug)]
 struct Stamp(SystemTime, u64, u64);
@@ -134,9 +142,10 @@
         orders.retain(|_, order| order.out || now.saturating_sub(order.since_ms) < REMEMBERED);
         let kept = Written { version: VERSION, servers: orders };
         let new = path.with_extension("new");
+        let text = serde_json::to_vec(&kept).map_err(|e| failed(e.into()))?;
+        // Written anew at each try: after a failed sync the kernel may hold for clean what it has not written.
         let mut file = File::create(&new).map_err(failed)?;
-        serde_json::to_writer(&mut file, &kept).map_err(|e| failed(e.into()))?;
-        file.flush().and_then(|()| file.sync_all()).map_err(failed)?;
+        file.write_all(&text).and_then(|()| file.sync_all()).map_err(failed)?;
         fs::rename(&new, &path).map_err(failed)?;
         // Guards against: a power cut after which the folder still names the file before.
         File::open(dir).and_then(|dir| dir.sync_all()).map_err(failed)?;
