Look at the sockets before an attempt that has its turn right after a stall

Change: where the heartbeat is overdue, an attempt lets the runtime look at all sockets once before it asks its permit.

--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -30,7 +30,8 @@
         let (now, due) = (Instant::now(), self.now + wait);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
-        let conditions = SendConditions { client: open.client.clone(), repeat_until, ..Default::default() };
+        let (client, stalls) = (open.client.clone(), self.stalls.clone());
+        let conditions = SendConditions { client, stalls, repeat_until, start: SendStart::default() };
         let repeats = open.must_not_repeat();
         open.starts.push(conditions.start.clone());
         if repeats {
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -29,6 +29,7 @@
 use crate::relay::Budget;
 use crate::request::{ANSWER_RESERVE, Answer};
 use crate::shared::Ledger;
+use crate::stall::StallMonitor;
 use crate::upstream::directory::Directory;
 use crate::upstream::starts::ListDate;
 
@@ -56,6 +57,7 @@
 
 /// How the driver hangs together with the other parts.
 pub struct Wiring {
+    pub stalls: StallMonitor,
     pub budget: Budget,
     pub metrics: Arc<Metrics>,
     /// How many connections to servers there are, for the clients' side.
@@ -71,6 +73,7 @@
 pub struct Driver {
     balancer: Balancer,
     metrics: Arc<Metrics>,
+    stalls: StallMonitor,
     setup: Setup,
     clock: Clock,
     /// The time that this turn goes by, read before anything else in it.
@@ -103,12 +106,13 @@
 impl Driver {
     /// A driver that holds so many connections to servers at most.
     pub fn new(config: Config, connections: usize, wiring: Wiring, orders: Orders) -> Self {
-        let Wiring { budget, metrics, held, subscribe, to_self, inbox, control } = wiring;
+        let Wiring { stalls, budget, metrics, held, subscribe, to_self, inbox, control } = wiring;
         let (clock, now, settings) = (Clock::new(), Instant::now(), config.setup.settings.clone());
         let directory = Directory::new(Duration::from_micros(settings.keepalive), metrics.clone());
         let mut driver = Driver {
             balancer: Balancer::new(settings, config.seed, clock.at(now)),
             metrics,
+            stalls,
             setup: config.setup,
             clock,
             now,
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -53,8 +53,10 @@
     config.file = Default::default();
     let version = config.known.version;
     let metrics = Arc::new(Metrics::new(Dropped::default()));
-    let _heartbeat = AbortOnDropHandle::new(tokio::spawn(StallMonitor::new().run(metrics.clone())));
+    let stalls = StallMonitor::new();
+    let _heartbeat = AbortOnDropHandle::new(tokio::spawn(stalls.clone().run(metrics.clone())));
     let wiring = Wiring {
+        stalls,
         budget: config.relay_budget(),
         metrics: metrics.clone(),
         held: Arc::new(AtomicUsize::new(0)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -85,7 +85,9 @@
     let (budget, started) = (config.relay_budget(), config.started);
     let file = std::mem::take(&mut config.file);
     let serving = Arc::new(AtomicBool::new(false));
+    let stalls = StallMonitor::new();
     let wiring = Wiring {
+        stalls: stalls.clone(),
         budget: budget.clone(),
         metrics: metrics.clone(),
         held: to_servers,
@@ -115,7 +117,6 @@
         Follower { file, control: control.clone(), metrics: metrics.clone(), new_address, new_terms, shared };
     tokio::spawn(follower.run(reload));
 
-    let stalls = StallMonitor::new();
     tokio::spawn(stalls.clone().run(metrics.clone()));
     let closing = clients::Closing::default();
     let sessions = TaskTracker::new();
--- a/crates/node/src/stall.rs
+++ b/crates/node/src/stall.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tracing::info;
 
@@ -28,6 +29,12 @@
     stalled_since: Option<Instant>,
 }
 
+impl Default for StallMonitor {
+    fn default() -> StallMonitor {
+        StallMonitor::new()
+    }
+}
+
 impl StallMonitor {
     /// A monitor whose first heartbeat is now.
     pub fn new() -> StallMonitor {
@@ -43,6 +50,18 @@
         state.stalled_since.unwrap_or(now)
     }
 
+    /// Waits until the loop has looked at its sockets, if it has not for too long: what has come in a stall, a client's
+    /// end say, is seen first. Returns at once otherwise.
+    pub async fn over(&self) {
+        if self.is_overdue(Instant::now()) {
+            yield_now().await; // the runtime looks at all sockets before this goes on, and wakes who waits for them first
+        }
+    }
+
+    fn is_overdue(&self, now: Instant) -> bool {
+        is_late(self.0.lock().unwrap_or_else(PoisonError::into_inner).last_heartbeat, now)
+    }
+
     /// Notes a heartbeat; returns how long the loop has stalled if that is over the tolerance.
     fn heartbeat(&self, now: Instant) -> Option<Duration> {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -13,6 +13,9 @@
 use crate::relay::Pass;
 use crate::request::Command;
 
+#[cfg(test)]
+mod tests;
+
 /// Makes one attempt, which states the time left until its deadline. The connection comes back if another request
 /// may use it.
 pub async fn run(
--- a/crates/node/src/upstream/caches.rs
+++ b/crates/node/src/upstream/caches.rs
@@ -49,6 +49,7 @@
         metrics: &Metrics,
         pass: Pass,
     ) -> (Reply, Option<Self>) {
+        permit.stall_over().await;
         let Some(stated) = permit.start(deadline) else {
             return (Reply::of(Outcome::Ignored), None);
         };
--- a/crates/node/src/upstream/origin.rs
+++ b/crates/node/src/upstream/origin.rs
@@ -83,6 +83,7 @@
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        permit.stall_over().await;
         let Some(stated) = permit.start(deadline) else {
             return (Reply::of(Outcome::Ignored), None);
         };
--- a/crates/node/src/upstream/send_permit.rs
+++ b/crates/node/src/upstream/send_permit.rs
@@ -8,6 +8,7 @@
 
 use crate::presence::Presence;
 use crate::request::ANSWER_RESERVE;
+use crate::stall::StallMonitor;
 
 /// The shortest time that an attempt can state: servers read it in whole milliseconds.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
@@ -74,6 +75,8 @@
     pub client: Presence,
     /// Where its start is noted.
     pub start: SendStart,
+    /// Tells when the loop has not looked at its sockets.
+    pub stalls: StallMonitor,
     /// From when on it may not start: a repeat is discarded by the servers until then.
     pub repeat_until: Option<Instant>,
 }
@@ -90,6 +93,13 @@
         SendPermit { server, conditions }
     }
 
+    /// Waits until a stall is over, before [`start`](Self::start) is asked.
+    ///
+    /// Guards against an attempt that begins right after a stall, for a client whose end came in it and is not seen yet.
+    pub async fn stall_over(&self) {
+        self.conditions.stalls.over().await;
+    }
+
     /// Starts the attempt, or returns `None` if nothing may be sent. The deadline lies [`ANSWER_RESERVE`] before the
     /// client's. There must be no await between this call and the first write.
     ///
@@ -99,7 +109,7 @@
     pub fn start(&self, deadline: Instant) -> Option<StatedTime> {
         let now = Instant::now();
         let left = deadline.saturating_duration_since(now);
-        let SendConditions { client, start, repeat_until } = &self.conditions;
+        let SendConditions { client, start, repeat_until, .. } = &self.conditions;
         let forgotten = repeat_until.is_some_and(|until| now >= until);
         if !self.server.serving() || client.has_ended() || left < SHORTEST_WAIT || forgotten {
             return None;
