Split the decision module by what it decides: choose, hedge, guard, accounting

Change: choose, hedge, guard (what every send and final answer passes) and accounting beside admission and health, each with its invariants; constants stand with their users.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -1,10 +1,12 @@
-//! Every decision of stonefold. The interface it speaks is `api.rs`; its books are `state.rs`.
+//! Every decision of stonefold: events in, actions out. The interface it speaks is `api.rs`; what it keeps
+//! is `state.rs`.
 //!
-//! The ordinary path: `arrive` and `advance` bring a read to `pick`, which takes from its key's candidate set
-//! (`candidates`) the cache with fewest of our requests in flight; `hedge` adds a copy where there is idle
-//! room; `outcome` lets the first served answer win, and only when all that were asked have missed does the
-//! read go to the origin. All else are exceptions, each with what it guards against. Every send passes
-//! `send`, every final answer `finish`.
+//! The ordinary path: `arrive` and `advance` bring a read to `choose`, which takes from its key's candidate
+//! set the cache with fewest of our requests in flight; `hedge` adds a copy where there is idle room;
+//! `outcome` lets the first served answer win, and only when all that were asked have missed does the read
+//! go to the origin. Every send and every final answer passes `guard`. `admission` is about who waits for a
+//! place, `health` about which servers are used, `accounting` about what they bear. All else are exceptions,
+//! each with what it guards against.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -14,40 +16,26 @@
 use crate::api::*;
 use crate::state::*;
 
-#[path = "admission.rs"]
+mod accounting;
 mod admission;
-#[path = "health.rs"]
+mod choose;
+mod guard;
 mod health;
+mod hedge;
 
-/// Caches in a key's candidate set.
-const SET: usize = 3;
-/// Requests in flight that one rank is worth: below 1, to break ties only.
-const AFFINITY: f64 = 0.95;
 /// A cache this many times slower than its fellows has no idle room.
 const SLOW: f64 = 3.0;
 /// Copies and further tries that one request earns, and most that are saved up.
 const COPY_SHARE: f64 = 0.1;
 const RETRY_SHARE: f64 = 0.2;
 const SAVED: f64 = 10.0;
-/// Requests that are not served count so many times, against the belief that the fleet bears what arrives.
-const MANY: f64 = 4.0;
 /// A gate whose attempts go badly in more than this part is overrun, not unlucky.
 const STRAINED: f64 = 0.3;
-/// A cache that tells more of its cores in use than this is about to queue.
-const FULL: f64 = 0.95;
-/// Less time than this many times the usual is too little to send: what may be tried again harmlessly is
-/// worth a try as long as about half of all answers come in time, what may not needs more.
-const HOPEFUL: f64 = 0.7;
-const IN_TIME: f64 = 1.75;
 /// Attempts of ours at a gate at the start, and what is held to be usual at first.
 const START: f64 = 8.0;
 const USUAL: f64 = 48.0;
 /// So many nodes may start with all of that.
 const FEW_NODES: f64 = 8.0;
-/// So many nodes may keep their connections for the whole of the keep-alive time, though connects fail.
-const IDLE_NODES: f64 = 8.0;
-/// A connection idles for this part longer after each answer, up to the keep-alive time.
-const LONGER: f64 = 1.125;
 const IDLE_TIMER: TimerToken = TimerToken(u64::MAX - 1);
 /// A zone is cut off from ours when this many connections fail in a row while another zone answers.
 const CUT: u32 = 3;
@@ -273,96 +261,6 @@
         }
     }
 
-    fn ask_cache(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(stored) = self.open.get_mut(&id).map(|r| r.stored.take()) else { return };
-        let sent = stored.is_some_and(|server| self.send(id, server, out))
-            || self.pick(id).map(|s| s.member.id).is_some_and(|server| self.send(id, server, out));
-        if !sent && self.settings.mode == Mode::Aside && self.open[&id].repeatable() {
-            self.fetch(id, out); // no cache can take it
-        } else if !sent {
-            self.finish(id, out);
-        }
-    }
-
-    /// Of the key's candidates, the one with fewest of our requests in flight.
-    fn pick(&self, id: RequestId) -> Option<&Server> {
-        let r = &self.open[&id];
-        // One that was tried before only if all were.
-        let tried = |s: &Server| if r.tried(s.member.id) { 1e9 } else { 0.0 };
-        let cost = |(rank, s): &(usize, &Server)| tried(s) + self.load(s) + AFFINITY * *rank as f64;
-        self.candidates(r.key).into_iter().enumerate().min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|c| c.1)
-    }
-
-    /// The key's set: the caches that rank highest when it is hashed with each server's id.
-    /// Unusable caches slide it to the next rank.
-    fn candidates(&self, key: u64) -> Vec<&Server> {
-        // The own zone first, where crossing has a price: a point of it is not worth splitting the sets.
-        let near = (100.0 * self.settings.cross_zone_price).powf(1.5).max(1.0);
-        let mut ranked: Vec<(f64, &Server)> = Vec::with_capacity(self.servers.len());
-        for s in self.servers.values().filter(|s| s.is_cache()) {
-            let hash = xxh3_64_with_seed(&key.to_le_bytes(), s.member.id.0.into());
-            // Weighted rendezvous hashing: each cache wins keys in proportion to its weight.
-            let uniform = (hash >> 11) as f64 / (1u64 << 53) as f64 + f64::MIN_POSITIVE;
-            // Guards against: a slow kind that jams while a quick one idles, where no sizes are listed.
-            let slowness = self.kinds.get(&s.member.kind).map_or(1.0, |kind| self.slowness(kind));
-            // Slow start: a cold cache wins keys by its warmth, which all nodes reckon alike from its start.
-            let near = if self.settings.zone == Some(s.member.zone) { near } else { 1.0 };
-            let weight = s.member.weight * s.warmth(&self.settings, self.now) * near;
-            ranked.push((-uniform.ln() * slowness / weight.max(f64::MIN_POSITIVE), s));
-        }
-        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.member.id.cmp(&b.1.member.id)));
-        let well = |s: &&Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
-        let usable = |s: &&Server| well(s) && self.allowance(s) > 0 && !self.cut_off(s);
-        let ranked = || ranked.iter().map(|&(_, s)| s);
-        let set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
-        if set.is_empty() { ranked().take(SET).collect() } else { set }
-    }
-
-    /// Our requests in flight at a cache, in the time that they take there.
-    fn load(&self, s: &Server) -> f64 {
-        // A cache not yet heard from counts at the others' mean, never idle.
-        let mean = self.gates[CACHES].out as f64 / self.caches.max(1) as f64;
-        let held = (s.out.len() as f64).max(if s.heard.is_none() { mean } else { 0.0 });
-        (held + 1.0) * s.slowness
-    }
-
-    /// A copy of a late read, where another candidate has idle room and neither fleet nor origin strains.
-    fn hedge(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.open.get(&id).filter(|r| !r.settled) else { return };
-        let Some(to) = r.tries.iter().find(|t| t.out).map(|t| t.server) else { return };
-        self.write_off(to);
-        let (r, first) = (&self.open[&id], self.servers.get(&to));
-        let copied = |s: &&Server| !s.member.origin && self.may_copy(r) && r.outstanding() == 1;
-        let Some(first) = first.filter(copied) else { return };
-        let well = |s: &&Server| !r.tried(s.member.id) && !self.suspect(s) && !self.cold(s);
-        let shut = self.copies < 1.0 || self.gates.iter().any(|g| g.full() || g.strain > STRAINED / 2.0);
-        let others: Vec<&Server> = self.candidates(r.key).into_iter().filter(well).collect();
-        let room = others.iter().find(|s| !shut && self.idle(s, r.class)).map(|s| s.member.id);
-        // An attempt lost, or overdue by far, is as good as failed: a further try needs no idle room.
-        let lost = first.lost.iter().any(|l| l.0 == id);
-        let overdue = (lost || self.suspect(first)) && !self.gates[CACHES].full() && self.retries >= 1.0;
-        let further = others.first().filter(|_| overdue).map(|s| s.member.id);
-        if room.is_some_and(|to| self.send(id, to, out)) {
-            self.copies -= 1.0;
-        } else if further.is_some_and(|to| self.send(id, to, out)) {
-            self.retries -= 1.0;
-        } else if self.open[&id].deadline > self.now + self.settings.quantum {
-            let (r, usual) = (&self.open[&id], self.timings[self.open[&id].class].late(4.0));
-            let spoilt = r.tries.iter().map(|t| t.sent.saturating_add(r.aim)).find(|&t| t > self.now);
-            self.wake(id, spoilt.map_or(usual, |t| usual.min(t - self.now)), out);
-        }
-    }
-
-    /// Idle room: nothing of ours out, and about as quick as all are when uncongested.
-    fn idle(&self, s: &Server, class: usize) -> bool {
-        let timing = &self.timings[class];
-        s.out.is_empty() && s.slowness * timing.mean < SLOW / 2.0 * timing.base
-    }
-
-    fn may_copy(&self, r: &Open) -> bool {
-        r.copies && r.repeatable() && !r.streaming
-    }
-
     fn outcome(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
         let id = end.id;
         let Some(r) = self.open.get_mut(&id) else { return };
@@ -395,172 +293,6 @@
         }
     }
 
-    // ---- cold caches and worth ----
-
-    fn cold(&self, s: &Server) -> bool {
-        s.warmth(&self.settings, self.now) < 1.0
-    }
-
-    /// Sends that a cold cache can take from us now: our whole calls of what all nodes may send it together.
-    /// What we serve for each cache, by what its kind does in comparison, times the nodes, is what it stands.
-    fn allowance(&self, s: &Server) -> u64 {
-        if !self.cold(s) {
-            return u64::MAX;
-        }
-        let all: f64 = self.kinds.values().map(|kind| kind.weight / self.slowness(kind)).sum();
-        let slowness = self.kinds.get(&s.member.kind).map_or(1.0, |kind| self.slowness(kind));
-        let share = s.member.weight / slowness / all.max(f64::MIN_POSITIVE);
-        let capacity = self.borne() * self.settings.nodes as f64 * share;
-        s.allotment.left(&self.settings.ramp(), capacity, self.now)
-    }
-
-    /// How slow a kind is in comparison, where the list tells no sizes.
-    fn slowness(&self, kind: &Pace) -> f64 {
-        if self.unsized_list { kind.slowness } else { 1.0 }
-    }
-
-    /// Requests a second that the fleet bears for us: those served, or all while few are not.
-    ///
-    /// Guards against: clients that come again and again, taken for a fleet that bears as much. It hurts
-    /// where most is turned away for other reasons: a cold cache then gets less than it could take, and a
-    /// trickle where all is turned away.
-    fn borne(&self) -> f64 {
-        let rate = |rate: &Rate| rate.per_second(self.now, self.tau());
-        let arrived = rate(&self.arrived);
-        rate(&self.served).max(arrived - MANY * rate(&self.unserved)).max(arrived.min(self.start))
-    }
-
-    /// The time over which rates are reckoned.
-    fn tau(&self) -> f64 {
-        (self.settings.cold as f64 / 4.0).max(1e6)
-    }
-
-    /// What serving a request is worth: little beyond its tenant's share of this node's traffic.
-    fn worth(&mut self, request: &Request) -> f64 {
-        let (now, tau) = (self.now, self.tau());
-        let all = self.arrived.add(now, tau);
-        let worth = request.class.and_then(|c| self.settings.classes.get(c)).map_or(1.0, |c| c.worth);
-        let Some(tenant) = request.tenant.filter(|&t| t < self.settings.tenant_shares.len()) else {
-            return worth;
-        };
-        let share = self.tenants[tenant].add(now, tau) / all;
-        let over = share > 1.25 * self.settings.tenant_shares[tenant];
-        worth * if over { self.settings.over_share_worth } else { 1.0 }
-    }
-
-    // ---- what every send and every final answer passes ----
-
-    /// Every send. Says whether it was allowed.
-    fn send(&mut self, id: RequestId, to: ServerId, out: &mut Vec<Action>) -> bool {
-        let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
-        let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
-        let late = self.now + self.least(r, timing) >= r.deadline;
-        if r.settled || r.streaming || late || r.tries.len() >= r.most {
-            return false; // nothing goes out after the end
-        }
-        if !s.in_service() || r.outstanding() > 0 && !self.may_copy(r) {
-            return false; // drains are kept from the moment they are told, and writes have no copy
-        }
-        let repeat_until = r.repeat_until();
-        let in_time = repeat_until.is_none_or(|until| self.now < until);
-        let mut ran = r.tries.iter().filter(|t| t.out || t.may_have_run);
-        let allowed = match r.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => ran.next().is_none(),
-            // Within the group that discards repeats, while it surely still remembers.
-            Effect::Keyed { scope, .. } => ran.all(|t| {
-                let first = self.servers.get(&t.server).map(|f| &f.member);
-                in_time && first.is_some_and(|f| f.groups_with(&s.member, scope))
-            }),
-        };
-        // A cold cache gets no more than our part of what it can take, whoever asks.
-        if !allowed || self.allowance(s) == 0 {
-            return false;
-        }
-        let cold = self.cold(s);
-        let (left, suspect, origin) = (r.deadline - self.now, self.suspect(s), s.member.origin);
-        let (hedge_in, due_in) = (timing.late(4.0), timing.late(6.0).max(1));
-        let hedges = self.may_copy(r) && r.outstanding() == 0 && !origin && hedge_in < left;
-        let s = self.servers.get_mut(&to).expect("looked up above");
-        let r = self.open.get_mut(&id).expect("looked up above");
-        if cold {
-            s.allotment.spend(&self.settings.ramp(), self.now);
-        }
-        let zone = self.zones.entry(s.member.zone).or_default();
-        let retry_at = self.now + 4 * due_in; // readmitted by a trickle
-        s.retry_at = if suspect { retry_at } else { s.retry_at };
-        zone.retry_at = if zone.failed + 1 >= CUT { retry_at } else { zone.retry_at };
-        s.idle_since = None;
-        s.out.insert((self.now + due_in, id, r.tries.len()));
-        self.gates[usize::from(origin)].out += 1;
-        r.wait = Wait::Nothing;
-        r.tries.push(Try { server: to, sent: self.now, out: true, may_have_run: false, missed: false });
-        let fetches = origin && r.leads;
-        let timeout = if fetches { left.max(r.aim) } else { left };
-        out.push(Action::Send { id, server: to, timeout, repeat_until });
-        if hedges || timeout > left {
-            self.wake(id, if hedges { hedge_in } else { left }, out);
-        }
-        true
-    }
-
-    /// Every final answer of our own: refused where that is surely harmless, else failed.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
-        if r.effect == Effect::Safe || r.tries.iter().all(|t| !t.out && !t.may_have_run) {
-            let retry_after = self.retry_pause(r.class.checked_sub(1));
-            out.push(Action::Refuse { id, retry_after });
-        } else {
-            out.push(Action::Fail(id));
-        }
-        self.end(id, false, out);
-    }
-
-    /// The process is about to end. Guards against: requests that came before word of it and wait for longer
-    /// than it lasts, which their clients would never hear of again.
-    fn finish_all(&mut self, out: &mut Vec<Action>) {
-        let mut left: Vec<RequestId> = self.open.keys().copied().collect();
-        left.sort_unstable();
-        left.into_iter().for_each(|id| self.finish(id, out));
-    }
-
-    /// The request has ended: what is still out is called off, who waited for it goes on.
-    fn end(&mut self, id: RequestId, served: bool, out: &mut Vec<Action>) {
-        let (now, tau) = (self.now, self.tau());
-        let Some(r) = self.open.get_mut(&id).filter(|r| !r.settled) else { return };
-        r.settled = true;
-        if !r.streaming {
-            let ends = if served { &mut self.served } else { &mut self.unserved };
-            ends.add(now, tau);
-        }
-        self.gates.iter_mut().for_each(|gate| gate.leave(&r.ticket));
-        let key = r.key;
-        // Guards against: an origin that works for nobody. It goes on with what it has begun: a fetch called
-        // off saves it nothing, stores nothing and is asked for again; let run, it serves who waits or comes.
-        let fetching = self.fetching(id);
-        self.cancel(id, fetching, out);
-        let leads = self.open.get_mut(&id).filter(|_| fetching.is_none());
-        if leads.is_some_and(|r| std::mem::take(&mut r.leads)) {
-            self.land(key, None, out);
-        }
-        if self.open.get(&id).is_some_and(|r| r.outstanding() == 0) {
-            self.open.remove(&id);
-        }
-    }
-
-    fn cancel(&self, id: RequestId, keep: Option<usize>, out: &mut Vec<Action>) {
-        let tries = self.open[&id].tries.iter().enumerate().filter(|_| self.settings.cancel);
-        let losers = tries.filter(|(n, t)| t.out && Some(*n) != keep);
-        out.extend(losers.map(|(attempt, _)| Action::Cancel { id, attempt }));
-    }
-
-    /// The attempt by which a read fetches its key, once it is out.
-    fn fetching(&self, id: RequestId) -> Option<usize> {
-        let at_origin = |t: &Try| self.servers.get(&t.server).is_some_and(|s| s.member.origin);
-        let r = self.open.get(&id).filter(|r| r.leads)?;
-        r.tries.iter().position(|t| t.out && at_origin(t))
-    }
-
     fn timer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
         if self.now + self.settings.quantum >= r.deadline && self.fetching(id).is_some() {
--- a/crates/balancer/src/admission.rs
+++ b/crates/balancer/src/balancer/admission.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Less time than this many times the usual is too little to send: what may be tried again harmlessly is
+/// worth a try as long as about half of all answers come in time, what may not needs more.
+const HOPEFUL: f64 = 0.7;
+const IN_TIME: f64 = 1.75;
+
 impl Balancer {
     /// A read that missed everywhere it was sent, or a write, goes to the origin.
     pub(super) fn fetch(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -36,17 +41,17 @@
         r.ticket = self.gates[gate].push(r.worth * if r.write { 1e3 } else { in_time }, id);
         let after = self.hopeless_at(id).saturating_sub(self.now);
         self.wake(id, after, out);
-        // Guards against: a queue that takes all connections which clients may hold. The least valuable, or the
-        // one who has waited for longest, goes when more wait than half the places would serve in turn.
+        // Guards against: a queue that takes all connections which clients may hold. The least valuable, or
+        // the one who has waited for longest, goes when more wait than half the places would serve in turn.
         if self.gates[gate].queue.len() as f64 > self.gates[gate].limit / 2.0 + 4.0 {
             let last = self.gates[gate].queue.pop_last();
             last.into_iter().for_each(|(_, _, id)| self.finish(id, out));
         }
     }
 
-    /// From when a request in a queue is given up. Guards against: places, clients' connections among them, held
-    /// by requests that would be refused at their deadline: what has not been sent in half of its time seldom
-    /// is, the newest being first, and what lacks the time for an answer never is.
+    /// From when a request in a queue is given up. Guards against: places, clients' connections among them,
+    /// held by requests that would be refused at their deadline: what has not been sent in half of its time
+    /// seldom is, the newest being first, and what lacks the time for an answer never is.
     pub(super) fn hopeless_at(&self, id: RequestId) -> Micros {
         let r = &self.open[&id];
         let half = r.arrived + r.deadline.saturating_sub(r.arrived) / 2;
@@ -73,7 +78,8 @@
         }
     }
 
-    /// A fetch ended: those who waited for it read what it stored, or one of them fetches anew for the others.
+    /// A fetch ended: those who waited for it read what it stored, or one of them fetches anew for the
+    /// others.
     ///
     /// Guards against: a thousand who wait and leave at once, each of whose ends would move all the others.
     pub(super) fn land(&mut self, key: u64, stored: Option<ServerId>, out: &mut Vec<Action>) {
@@ -91,8 +97,8 @@
 
     /// Closes connections that have idled for long enough: they are few at a cache whose connects fail.
     ///
-    /// Guards against: full connection tables, where hundreds of nodes each keep idle connections to all caches,
-    /// and handshakes for nearly every request, where each closes its own for fear of that.
+    /// Guards against: full connection tables, where hundreds of nodes each keep idle connections to all
+    /// caches, and handshakes for nearly every request, where each closes its own for fear of that.
     pub(super) fn thin_out(&mut self, out: &mut Vec<Action>) {
         if self.now < self.thin_at {
             return;
--- a/crates/balancer/src/health.rs
+++ b/crates/balancer/src/balancer/health.rs
@@ -2,9 +2,16 @@
 
 use super::*;
 
+/// A cache that tells more of its cores in use than this is about to queue.
+const FULL: f64 = 0.95;
+/// So many nodes may keep their connections for the whole of the keep-alive time, though connects fail.
+const IDLE_NODES: f64 = 8.0;
+/// A connection idles for this part longer after each answer, up to the keep-alive time.
+const LONGER: f64 = 1.125;
+
 impl Balancer {
-    /// How long a client whose request of this class is refused should wait, in microseconds: spread, so that those
-    /// refused together do not return together. 0 where the settings allow no pause.
+    /// How long a client whose request of this class is refused should wait, in microseconds: spread, so
+    /// that those refused together do not return together. 0 where the settings allow no pause.
     pub fn retry_pause(&mut self, class: Option<usize>) -> Micros {
         let timing = class.and_then(|class| self.timings.get(class + 1)).unwrap_or(&self.timings[0]);
         let pause = timing.late(4.0).min(self.settings.max_retry_after / 2);
@@ -17,13 +24,13 @@
         self.write_off(to)
     }
 
-    /// Takes off the books what is overdue at a server that has answered an attempt sent later at once: no queue
-    /// holds it. It is overdue by the aim at the latest, however much times have spread, unless much goes badly:
-    /// then all take long, and nothing is gained by asking again.
+    /// Takes off the books what is overdue at a server that has answered an attempt sent later at once: no
+    /// queue holds it. It is overdue by the aim at the latest, however much times have spread, unless much
+    /// goes badly: then all take long, and nothing is gained by asking again.
     ///
-    /// Guards against: servers that swallow some requests and answer all others, whose lost ones fill the gate,
-    /// shut it and brand every cache. Covers answers lost on the way and connections gone silent too. It hurts
-    /// where a jammed server takes the newest first: what waits there then holds no place.
+    /// Guards against: servers that swallow some requests and answer all others, whose lost ones fill the
+    /// gate, shut it and brand every cache. Covers answers lost on the way and connections gone silent too.
+    /// It hurts where a jammed server takes the newest first: what waits there then holds no place.
     pub(super) fn write_off(&mut self, to: ServerId) -> Vec<RequestId> {
         let Some(s) = self.servers.get(&to) else { return Vec::new() };
         let strained = self.gates[CACHES].strain > STRAINED;
@@ -66,8 +73,8 @@
         if lost && matches!(outcome, Outcome::TimedOut | Outcome::Canceled) {
             return; // it told what it had to when it was written off
         }
-        // Guards against: reads that wait while most caches idle. One attempt each overruns none of them, unless
-        // hundreds of nodes have one there: the more nodes, the smaller each one's part.
+        // Guards against: reads that wait while most caches idle. One attempt each overruns none of them,
+        // unless hundreds of nodes have one there: the more nodes, the smaller each one's part.
         let part = (FEW_NODES / self.settings.nodes as f64).min(1.0);
         let least = if s.member.origin { 1.0 } else { (self.caches as f64 * part).max(1.0) };
         let gate = &mut self.gates[usize::from(s.member.origin)];
@@ -78,10 +85,11 @@
             zone.answered_in(elapsed);
         }
         // A queue shows in the time before it spoils the aim; a miss, or a fetch, is but one leg of its read.
-        // Guards against: a gate that shuts because its servers are far, not full, so that fetches wait, caches
-        // stay empty and misses grow. Covers all that makes every answer of a zone slower than the nearest
-        // zone's: the way there, a slow link, a zone of slow machines. It hurts where one zone queues for so
-        // long that no quick answer of it is remembered: gates shut later then, at times over the aim.
+        // Guards against: a gate that shuts because its servers are far, not full, so that fetches wait,
+        // caches stay empty and misses grow. Covers all that makes every answer of a zone slower than the
+        // nearest zone's: the way there, a slow link, a zone of slow machines. It hurts where one zone
+        // queues for so long that no quick answer of it is remembered: gates shut later then, at times over
+        // the aim.
         let legs = if outcome == Outcome::Miss { 3 } else { 1 + u64::from(s.member.origin) };
         let way = detour(&self.zones, s.member.zone);
         let in_time = aim.min(aim / legs + way);
--- a/crates/balancer/tests/size.rs
+++ b/crates/balancer/tests/size.rs
@@ -1,10 +1,24 @@
-//! The module stays short enough to be printed.
+//! The modules stay short enough to be printed.
+
+/// Lines with something in them that one module may have.
+const MOST_LINES: usize = 550;
+const WIDEST: usize = 110;
 
 #[test]
-fn the_module_is_short_and_its_lines_narrow() {
-    let text = include_str!("../src/balancer.rs");
-    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
-    assert!(lines <= 550, "{lines} lines");
-    let long: Vec<&str> = text.lines().filter(|l| l.chars().count() > 110).collect();
-    assert!(long.is_empty(), "over 110 characters: {long:?}");
+fn the_modules_are_short_and_their_lines_narrow() {
+    let modules = [
+        ("balancer", include_str!("../src/balancer.rs")),
+        ("accounting", include_str!("../src/balancer/accounting.rs")),
+        ("admission", include_str!("../src/balancer/admission.rs")),
+        ("choose", include_str!("../src/balancer/choose.rs")),
+        ("guard", include_str!("../src/balancer/guard.rs")),
+        ("health", include_str!("../src/balancer/health.rs")),
+        ("hedge", include_str!("../src/balancer/hedge.rs")),
+    ];
+    for (name, text) in modules {
+        let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+        assert!(lines <= MOST_LINES, "{name}: {lines} lines");
+        let wide: Vec<&str> = text.lines().filter(|line| line.chars().count() > WIDEST).collect();
+        assert!(wide.is_empty(), "{name}: {wide:?}");
+    }
 }
