--- a/crates/cli/tests/folders.rs
+++ b/crates/cli/tests/folders.rs
@@ -4,6 +4,7 @@
 mod fakes;
 
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use fakes::*;
 use stonefold_faults::{Fault, FaultPlan, library_beside};
@@ -108,3 +109,28 @@
     }
     assert!(plan.injected(Fault::Socket).unwrap() > 0);
 }
+
+#[test]
+fn serving_does_not_wait_for_a_configuration_that_cannot_be_read() {
+    const SLOWEST: Duration = Duration::from_millis(400);
+    let scene = Scene::new();
+    let plan = FaultPlan::new(8).unwrap();
+    let node = scene.node(&plan);
+    let mut client = node.client();
+    plan.set(Fault::FileRead, 1.0).unwrap();
+    node.reload(&node.config());
+    let mut slowest = Duration::ZERO;
+    while node.figure("svc_reconfig_failed_total") < 1.0 {
+        let asked = Instant::now();
+        client.ping();
+        slowest = slowest.max(asked.elapsed());
+    }
+    assert!(slowest < SLOWEST, "a client waited for {slowest:?}");
+    plan.set(Fault::FileRead, 0.5).unwrap();
+    node.reload(&node.config());
+    let started = Instant::now();
+    while node.figure("svc_reconfig_ok_total") < 1.0 {
+        assert!(started.elapsed() < PATIENCE, "not taken though reads fail now and then alone");
+        client.ping();
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -16,7 +16,7 @@
 use crate::bounds::Bounds;
 use crate::handover;
 use crate::membership::MembershipConfig;
-use crate::momentary::until_done_blocking;
+use crate::momentary::{Momentary, until_done_blocking};
 use crate::operator::CALLERS;
 use crate::relay::Budget;
 use crate::shared::Shared;
@@ -106,7 +106,7 @@
 pub type DocumentError = Box<dyn Error + Send + Sync>;
 
 /// Another source of the platform's document: read at the start, and at each SIGHUP.
-pub trait Document: Send {
+pub trait Document: Send + Sync {
     /// The document as it stands now.
     ///
     /// # Errors
@@ -153,8 +153,7 @@
 }
 
 fn read_json(path: String) -> Result<(String, Value), ConfigError> {
-    let text = until_done_blocking(|| fs::read_to_string(&path))
-        .map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+    let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
     match serde_json::from_str(&text) {
         Ok(value) => Ok((path, value)),
         Err(error) => Err(ConfigError::Malformed(path, error)),
@@ -172,6 +171,12 @@
     Setup::try_from(file.settings).map(drop).map_err(ConfigError::Settings)
 }
 
+impl Momentary for ConfigError {
+    fn is_momentary(&self) -> bool {
+        matches!(self, ConfigError::Unreadable(_, error) if error.is_momentary())
+    }
+}
+
 impl File {
     fn checked(path: String, value: Value) -> Result<(File, Value), ConfigError> {
         let file: File = File::deserialize(&value).map_err(|e| ConfigError::Malformed(path, e))?;
@@ -236,7 +241,7 @@
     /// If it can't be read, lacks something or states what can't be used.
     pub fn from_source(source: Source) -> Result<Config, ConfigError> {
         let started = Instant::now();
-        let (file, value) = source.read()?;
+        let (file, value) = until_done_blocking(|| source.read())?;
         let processes = if handover::is_passed() { 2 } else { 1 };
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 2 * RESERVED * processes {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -12,6 +12,7 @@
 use crate::config::{ConfigError, Followed};
 use crate::message::{Control, Terms};
 use crate::metrics::Metrics;
+use crate::momentary::until_done;
 use crate::shared::Shared;
 
 /// A class that the settings have dropped is still taken for so long: its last requests are on their way.
@@ -69,7 +70,7 @@
 
     /// Brings the file as it is now into force. An error leaves all as it was.
     async fn take(&mut self) -> Result<Terms, ConfigError> {
-        let (new, file) = self.file.read()?;
+        let (new, file) = until_done(|| self.file.read()).await?;
         let (sender, answer) = oneshot::channel();
         let told = self.control.send(Control::Reload(Box::new(new.settings), sender)).await;
         told.map_err(|_| ConfigError::Ending)?;
