Give the clients' front its start and its stop, and the session's steps their functions

Change: Front starts and stops what accepts and serves; note_read, write_out and give_up stand by themselves.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -15,7 +15,8 @@
 use stonefold_net::{Listener, Meaning, meaning};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::warn;
@@ -28,22 +29,58 @@
 use crate::metrics::Metrics;
 use crate::relay::Budget;
 use crate::stall::StallMonitor;
+use crate::stopping::Plan;
 
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
 
 /// How connections end when the process does.
 #[derive(Clone, Default)]
-pub struct Closing {
+struct Closing {
     /// Those that have had a request close as soon as nothing is owed.
-    pub used: CancellationToken,
+    used: CancellationToken,
     /// Those that have had none close too.
-    pub silent: CancellationToken,
+    silent: CancellationToken,
+}
+
+/// The clients' front while it serves.
+pub struct Front {
+    accepting: JoinHandle<()>,
+    sessions: TaskTracker,
+    closing: Closing,
+}
+
+impl Front {
+    /// Serves clients that connect to this listener.
+    pub fn start(wiring: Wiring, listener: Listener) -> Front {
+        let (closing, sessions) = (Closing::default(), TaskTracker::new());
+        let clients = Clients::new(wiring, closing.clone(), sessions.clone());
+        Front { accepting: tokio::spawn(clients.accept(listener)), sessions, closing }
+    }
+
+    /// Stops as planned, from the time on at which word to stop came; ends when all connections have ended, or at the
+    /// plan's end.
+    pub async fn stop(self, stopped: Instant, plan: Plan) {
+        let Front { accepting, sessions, closing } = self;
+        sleep_until(stopped + plan.accepts).await;
+        accepting.abort();
+        let _ = accepting.await; // our descriptor of the listener is closed with it, the listener only if it is the last
+        sessions.close();
+        closing.used.cancel();
+        tokio::select! {
+            () = sessions.wait() => return,
+            () = sleep_until(stopped + plan.silent) => closing.silent.cancel(),
+        }
+        tokio::select! {
+            () = sessions.wait() => {}
+            () = sleep_until(stopped + plan.end) => {}
+        }
+    }
 }
 
 /// The listener's side: what all sessions share.
 #[derive(Clone)]
-pub struct Clients {
+struct Clients {
     to: UnboundedSender<Message>,
     bounds: Bounds,
     terms: watch::Receiver<Terms>,
@@ -68,16 +105,14 @@
     pub to: UnboundedSender<Message>,
     pub bounds: Bounds,
     pub terms: watch::Receiver<Terms>,
-    pub closing: Closing,
-    pub sessions: TaskTracker,
     pub metrics: Arc<Metrics>,
     pub budget: Budget,
     pub stalls: StallMonitor,
 }
 
 impl Clients {
-    pub fn new(wiring: Wiring) -> Self {
-        let Wiring { to, bounds, terms, closing, sessions, metrics, budget, stalls } = wiring;
+    fn new(wiring: Wiring, closing: Closing, sessions: TaskTracker) -> Self {
+        let Wiring { to, bounds, terms, metrics, budget, stalls } = wiring;
         let idle = Arc::new(IdleConnections::new(bounds.resting));
         let (left, next_id, open_ids, held) = Default::default();
         Clients {
@@ -98,7 +133,7 @@
     }
 
     /// Takes connections until it is aborted.
-    pub async fn accept(self, listener: Listener) {
+    async fn accept(self, listener: Listener) {
         loop {
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -191,15 +191,7 @@
                     if read == 0 {
                         return Ok(Ending::ClosedByClient);
                     }
-                    self.came_at = self.unread.read(client);
-                    self.read_at = Instant::now();
-                    if self.heard && read == self.buffer.len() {
-                        self.since = Instant::now(); // a command's first byte
-                    }
-                    // A long value may take its time as long as it comes on.
-                    if self.large.is_some() && self.buffer.len() >= self.come + CHUNK {
-                        (self.since, self.come) = (Instant::now(), self.buffer.len());
-                    }
+                    self.note_read(client, read);
                 }
                 // Guards against: a client that leaves while it is not read, and whose requests go on.
                 () = gone(client, &mut self.unread), if looks => return Ok(Ending::ClosedByClient),
@@ -209,33 +201,11 @@
                     (self.large, self.come) = (Some(room), self.buffer.len());
                     self.since = Instant::now(); // it was we who let the client wait
                 }
-                outgoing = next(&mut self.owed), if !unowed => {
-                    match outgoing {
-                        Outgoing::Frame(frame, due) => {
-                            let (text, dues) = self.answers(frame, due);
-                            let write = async { timeout(STUCK, client.write_all(&text)).await? };
-                            unless_gone(client, &mut self.unread, write).await?;
-                            dues.iter().for_each(|due| due.check(&self.shared.metrics.violations));
-                        }
-                        // A long value takes as long as its client and its server make it.
-                        Outgoing::Value(stream, _pending) => {
-                            unless_gone(client, &mut self.unread, stream.write_to(&mut { client })).await?;
-                        }
-                    }
-                    self.recount();
-                    self.since = Instant::now();
-                }
+                outgoing = next(&mut self.owed), if !unowed => self.write_out(client, outgoing).await?,
                 () = yield_now(), if self.more => {}
                 () = closing.used.cancelled(), if !stopping => {}
                 () = closing.silent.cancelled(), if !closing.silent.is_cancelled() => {}
-                () = sleep_until(give_up_at), if may_give_up => {
-                    let error = BytesFrame::Error("ERR no whole command".into());
-                    let mut text = BytesMut::new();
-                    encode(&mut text, &error);
-                    timeout(STUCK, client.write_all(&text)).await??;
-                    client.shutdown_write()?;
-                    return Ok(Ending::Silent);
-                }
+                () = sleep_until(give_up_at), if may_give_up => return give_up(client).await,
                 () = IdleSlot::evicted(&mut slot) => {
                     client.shutdown_write()?;
                     return Ok(Ending::Evicted);
@@ -245,6 +215,39 @@
         }
     }
 
+    /// Bytes have come: so many, and now.
+    fn note_read(&mut self, client: &Socket, read: usize) {
+        let now = Instant::now();
+        self.came_at = self.unread.read(client);
+        self.read_at = now;
+        if self.heard && read == self.buffer.len() {
+            self.since = now; // a command's first byte
+        }
+        // A long value may take its time as long as it comes on.
+        if self.large.is_some() && self.buffer.len() >= self.come + CHUNK {
+            (self.since, self.come) = (now, self.buffer.len());
+        }
+    }
+
+    /// Writes an answer, and those behind it that are at hand, as long as the client is there.
+    async fn write_out(&mut self, client: &Socket, outgoing: Outgoing) -> io::Result<()> {
+        match outgoing {
+            Outgoing::Frame(frame, due) => {
+                let (text, dues) = self.answers(frame, due);
+                let write = async { timeout(STUCK, client.write_all(&text)).await? };
+                unless_gone(client, &mut self.unread, write).await?;
+                dues.iter().for_each(|due| due.check(&self.shared.metrics.violations));
+            }
+            // A long value takes as long as its client and its server make it.
+            Outgoing::Value(stream, _pending) => {
+                unless_gone(client, &mut self.unread, stream.write_to(&mut { client })).await?;
+            }
+        }
+        self.recount();
+        self.since = Instant::now();
+        Ok(())
+    }
+
     fn idle_state(&self) -> IdleState {
         match (self.buffer.is_empty(), self.asked) {
             (false, _) => IdleState::Sending,
@@ -420,3 +423,13 @@
         Owed::Refused(answer)
     }
 }
+
+/// Tells a client of which nothing good has come for too long so, and ends its connection.
+async fn give_up(client: &Socket) -> io::Result<Ending> {
+    let error = BytesFrame::Error("ERR no whole command".into());
+    let mut text = BytesMut::new();
+    encode(&mut text, &error);
+    timeout(STUCK, client.write_all(&text)).await??;
+    client.shutdown_write()?;
+    Ok(Ending::Silent)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,10 +33,10 @@
 use stonefold_observe::Dropped;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep_until};
-use tokio_util::task::TaskTracker;
+use tokio::time::Instant;
 use tracing::info;
 
+use clients::Front;
 use config::Config;
 use driver::{Driver, Wiring};
 use membership::Membership;
@@ -118,19 +118,15 @@
     tokio::spawn(follower.run(reload));
 
     tokio::spawn(stalls.clone().run(metrics.clone()));
-    let closing = clients::Closing::default();
-    let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(clients::Wiring {
+    let wiring = clients::Wiring {
         to: sender,
         bounds,
         terms: terms.clone(),
-        closing: closing.clone(),
-        sessions: sessions.clone(),
         metrics: metrics.clone(),
         budget,
         stalls: stalls.clone(),
-    });
-    let accepting = tokio::spawn(clients.accept(Listener::new(listener)));
+    };
+    let front = Front::start(wiring, Listener::new(listener));
     serving.store(true, Ordering::Relaxed);
     let took = started.elapsed();
     metrics.ready(took);
@@ -148,18 +144,6 @@
     if let Some(membership) = membership {
         membership.leave().await;
     }
-    sleep_until(stopped + plan.accepts).await;
-    accepting.abort();
-    let _ = accepting.await; // our descriptor of the listener is closed with it, the listener only if it is the last
-    sessions.close();
-    closing.used.cancel();
-    tokio::select! {
-        () = sessions.wait() => return Ok(()),
-        () = sleep_until(stopped + plan.silent) => closing.silent.cancel(),
-    }
-    tokio::select! {
-        () = sessions.wait() => {}
-        () = sleep_until(stopped + plan.end) => {}
-    }
+    front.stop(stopped, plan).await;
     Ok(())
 }
