Test calls that fail with fewer clients than a fresh node has places for

Seen: the test of interrupted and of short calls was red 5 times in 7 runs on a busy machine, served below 0.95 (458 to 600 of 600), none closed, none never answered. Cause: 24 clients at a node that has just started: it sends 8 at once, 8 wait, others are refused by admission, without any fault. The test was wrong in what it took for a fault's doing. Change: 6 clients with 100 reads each, as many reads as before, and 0.99 of them served instead of 0.95, so stricter.

--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -14,8 +14,9 @@
 use stonefold_faults::{Fault, FaultPlan, library_beside};
 
 const CACHE: &str = "s-5be2a07c";
-const CLIENTS: usize = 24;
-const READS: usize = 25;
+/// Fewer than a node that has just started sends at once: more would wait for a place, and be refused, without any fault.
+const CLIENTS: usize = 6;
+const READS: usize = 100;
 /// A client takes a request for never answered after this time, which is far over its wait.
 const NEVER: Duration = Duration::from_secs(6);
 const VALUE: &str = "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n";
@@ -142,8 +143,8 @@
 #[test]
 fn short_reads_and_writes_cost_no_request_its_answer() {
     for rate in [0.01, 0.1, 0.3] {
-        all_answered(&[(Fault::ShortRead, rate)], 0.95);
-        all_answered(&[(Fault::ShortWrite, rate)], 0.95);
+        all_answered(&[(Fault::ShortRead, rate)], 0.99);
+        all_answered(&[(Fault::ShortWrite, rate)], 0.99);
     }
 }
 
@@ -151,7 +152,7 @@
 fn interrupted_calls_cost_no_request_its_answer() {
     for rate in [0.01, 0.1, 0.3] {
         let faults = [Fault::InterruptedRead, Fault::InterruptedWrite, Fault::InterruptedWait];
-        all_answered(&faults.map(|fault| (fault, rate)), 0.95);
+        all_answered(&faults.map(|fault| (fault, rate)), 0.99);
     }
 }
 
