--- a/crates/cli/tests/clocks.rs
+++ b/crates/cli/tests/clocks.rs
@@ -4,6 +4,7 @@
 #[path = "common/fakes.rs"]
 mod fakes;
 
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -65,9 +66,7 @@
     assert_eq!(share_of_started(&node, &started), 0);
     // What it missed before it ran, then a start while it runs.
     discovery.call().http("200 OK", r#"{"version":42,"full":false,"servers":[]}"#);
-    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-    let entry = entry(STARTED, started_at, "m", "SERVING");
-    let entry = entry.replace(r#""started_ms":0"#, &format!(r#""started_ms":{now_ms}"#));
+    let entry = started_now(STARTED, started_at);
     let watch = discovery.call();
     watch.http("200 OK", &format!(r#"{{"version":43,"full":false,"servers":[{entry}]}}"#));
     let _watch = discovery.call(); // the change is in force
@@ -92,3 +91,36 @@
         );
     }
 }
+
+#[test]
+fn a_start_that_is_told_shows_a_clock_that_was_ahead_when_the_first_list_came() {
+    let plan = FaultPlan::new(2).unwrap();
+    plan.step_clock(HOUR_MS).unwrap();
+    let library = library_beside(&std::env::current_exe().unwrap()).unwrap();
+    let (warm, started, next) = (Fake::cache(), Fake::cache(), Fake::cache());
+    let (origin, discovery) = (Fake::http(), Fake::http());
+    // One has started right before the node, another starts while it runs.
+    let entries = [
+        entry(WARM, warm.addr, "m", "SERVING"),
+        started_now(STARTED, started.addr),
+        entry("o", origin.addr, "origin", "SERVING"),
+    ];
+    let known = format!(r#"{{"version":41,"full":true,"servers":[{}]}}"#, entries.join(","));
+    let start = Start::new(&known, discovery.addr);
+    let node = Start { environment: plan.environment(&library).into(), ..start }.node();
+    let next_entry = started_now("s-next", next.addr);
+    let (_warm, started, _next) = (answering(warm), answering(started), answering(next));
+    discovery.call().http("200 OK", r#"{"version":42,"full":false,"servers":[]}"#);
+    let watch = discovery.call();
+    let taken_for_warm = share_of_started(&node, &started);
+    watch.http("200 OK", &format!(r#"{{"version":43,"full":false,"servers":[{next_entry}]}}"#));
+    let _watch = discovery.call(); // the change is in force
+    let spared = share_of_started(&node, &started);
+    assert!(spared * 2 < taken_for_warm, "{spared} of {READS}, {taken_for_warm} while taken for warm");
+}
+
+/// The entry of a server that has started now, by the true time.
+fn started_now(id: &str, server: SocketAddr) -> String {
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    entry(id, server, "m", "SERVING").replace(r#""started_ms":0"#, &format!(r#""started_ms":{now_ms}"#))
+}
