See from the next start that is told by how much the wall clock was ahead

Cause: servers of the first list were dated by the wall clock alone, so that one that started a second before a node whose clock is an hour ahead stayed warm. Change: a start that is told while the node runs and seems over a minute old shows by how much the clock is ahead; the starts of the first list are corrected by that, towards colder only.

--- a/crates/node/src/upstream/directory.rs
+++ b/crates/node/src/upstream/directory.rs
@@ -42,8 +42,10 @@
     /// As it was last listed, for what is said of changes.
     state: MemberState,
     started_ms: f64,
-    /// The same start as the module has it.
-    started: Option<Micros>,
+    /// As the module has it.
+    member: Member,
+    /// Whether its start is as the first list had it, by a wall clock that may be ahead.
+    start_is_unsure: bool,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, Connection)>,
 }
@@ -97,7 +99,37 @@
             });
         }
         let starts = Starts::new(&list.servers, dated);
-        list.servers.into_iter().map(|entry| self.enter(entry, &starts, setup)).collect()
+        let latest = list.servers.iter().filter(|entry| self.is_new_start(entry));
+        let latest = latest.map(|entry| entry.started_ms).fold(0.0, f64::max);
+        let mut members: Vec<Member> =
+            list.servers.into_iter().map(|entry| self.enter(entry, &starts, setup)).collect();
+        for corrected in self.corrected(starts.ahead(latest)) {
+            match members.iter_mut().find(|member| member.id == corrected.id) {
+                Some(member) => *member = corrected,
+                None => members.push(corrected),
+            }
+        }
+        members
+    }
+
+    fn is_new_start(&self, entry: &Entry) -> bool {
+        let known = self.servers.get(&self.id_of(&entry.id));
+        known.is_none_or(|server| server.started_ms != entry.started_ms)
+    }
+
+    /// The servers whose starts are later than the first list made them seem, by a clock that was so far ahead.
+    fn corrected(&mut self, ahead: Option<Micros>) -> Vec<Member> {
+        let Some(ahead) = ahead else { return Vec::new() };
+        let mut corrected = Vec::new();
+        for server in self.servers.values_mut().filter(|server| server.start_is_unsure) {
+            server.start_is_unsure = false;
+            if let Some(started) = server.member.started {
+                server.member.started = Some(started.saturating_add(ahead));
+                corrected.push(server.member.clone());
+            }
+        }
+        corrected.sort_by_key(|member| member.id);
+        corrected
     }
 
     fn enter(&mut self, entry: Entry, starts: &Starts, setup: &mut Setup) -> Member {
@@ -108,7 +140,21 @@
             State::Draining => MemberState::Draining,
             State::Deleted => MemberState::Removed,
         };
-        let new = !self.servers.contains_key(&id);
+        let (new, new_start) = (!self.servers.contains_key(&id), self.is_new_start(&entry));
+        let started = match self.servers.get(&id).filter(|_| !new_start) {
+            Some(server) => server.member.started,
+            None => starts.of(entry.started_ms),
+        };
+        let member = Member {
+            id,
+            state,
+            zone: setup.zone(Cow::Owned(entry.zone.clone())),
+            cell: entry.cell,
+            kind: setup.kind(Cow::Owned(entry.kind.clone())),
+            weight: entry.weight.unwrap_or(1.0),
+            started,
+            origin,
+        };
         let server = self.servers.entry(id).or_insert_with(|| Server {
             name: entry.id,
             addr: entry.addr,
@@ -117,13 +163,12 @@
             serving: ServingFlag::new(),
             state,
             started_ms: entry.started_ms,
-            started: starts.of(entry.started_ms),
+            member: member.clone(),
+            start_is_unsure: starts.are_unsure(),
             idle: Vec::new(),
         });
-        if server.started_ms != entry.started_ms {
-            server.started = starts.of(entry.started_ms);
-        }
-        let started = server.started;
+        server.member = member.clone();
+        server.start_is_unsure &= !new_start || starts.are_unsure();
         server.origin = origin;
         if server.addr != entry.addr {
             server.addr = entry.addr;
@@ -144,16 +189,7 @@
         {
             note_gone(&mut self.gone, &server.name, self.banned.contains_key(&id));
         }
-        Member {
-            id,
-            state,
-            zone: setup.zone(Cow::Owned(entry.zone)),
-            cell: entry.cell,
-            kind: setup.kind(Cow::Owned(entry.kind)),
-            weight: entry.weight.unwrap_or(1.0),
-            started,
-            origin,
-        }
+        member
     }
 
     /// The id of a name, which is the same at every node: a hash, and the next one where two names share it.
--- a/crates/node/src/upstream/starts.rs
+++ b/crates/node/src/upstream/starts.rs
@@ -3,8 +3,10 @@
 //! - A start that is told while the node runs counts from when it is told. That is late by how long the news took, so
 //!   that the server is taken for colder than it is, for no longer than it is cold.
 //! - A start in the first list may be long ago, and only the wall clock tells. No start lies ahead of now: where the
-//!   latest one does, our clock is behind, and now is that start at the earliest. A clock that is ahead can't be told
-//!   from one that is right: the servers of the first list may then be taken for warm, by this one process.
+//!   latest one does, our clock is behind, and now is that start at the earliest.
+//! - A clock that is ahead can't be told from one that is right in the first list, and its servers may be taken for
+//!   warm, until a start is told while the node runs: by as much as that seems long ago, beyond what news take, the clock
+//!   is ahead. Should the news have been late indeed, servers of the first list are taken for colder than they are.
 
 use stonefold_balancer::Micros;
 use stonefold_balancer::setup::micros;
@@ -19,6 +21,9 @@
     Later(Micros),
 }
 
+/// News of a start take no longer than this, unless discovery was away.
+const NEWS: Micros = 60_000_000;
+
 /// The starts of one list.
 #[derive(Debug)]
 pub struct Starts {
@@ -38,6 +43,22 @@
         Starts { dated, behind }
     }
 
+    /// Whether they hang on our wall clock.
+    pub fn are_unsure(&self) -> bool {
+        matches!(self.dated, ListDate::First(_))
+    }
+
+    /// How far ahead our clock is, as a start shows that was told in this list as Unix time in ms; `None` if it is not,
+    /// as far as that can be told.
+    pub fn ahead(&self, started_ms: f64) -> Option<Micros> {
+        match self.dated {
+            ListDate::Later(now) if started_ms > 0.0 => {
+                Some(now.saturating_sub(micros(started_ms))).filter(|&ahead| ahead > NEWS)
+            }
+            _ => None,
+        }
+    }
+
     /// A start that is told as Unix time in ms, on the driver's clock; `None` for one that is long ago.
     pub fn of(&self, started_ms: f64) -> Option<Micros> {
         if started_ms <= 0.0 {
--- a/crates/node/src/upstream/starts/tests.rs
+++ b/crates/node/src/upstream/starts/tests.rs
@@ -35,3 +35,14 @@
     let minute = micros(MINUTE_MS - 1_000.0);
     assert_eq!(starts(&told, ListDate::First(now)), [Some(now - minute), Some(now), None]);
 }
+
+#[test]
+fn a_start_that_seems_long_ago_when_it_is_told_shows_by_how_much_the_clock_is_ahead() {
+    let now = micros(NOW_MS);
+    let ahead = |started_ms: f64, dated: ListDate| Starts::new(&[], dated).ahead(started_ms);
+    assert_eq!(ahead(NOW_MS - 60.0 * MINUTE_MS, ListDate::Later(now)), Some(micros(60.0 * MINUTE_MS)));
+    assert_eq!(ahead(NOW_MS - MINUTE_MS / 2.0, ListDate::Later(now)), None, "news may take so long");
+    assert_eq!(ahead(NOW_MS + MINUTE_MS, ListDate::Later(now)), None);
+    assert_eq!(ahead(0.0, ListDate::Later(now)), None, "long ago");
+    assert_eq!(ahead(NOW_MS - 60.0 * MINUTE_MS, ListDate::First(now)), None);
+}
