--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -1,31 +1,27 @@
 //! One client's connection: reads its commands, writes the answers.
 
+mod commands;
+
 use std::collections::VecDeque;
 use std::io;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use redis_protocol::resp2::types::BytesFrame;
-use stonefold_balancer::RequestId;
 use stonefold_net::{Meaning, Socket, meaning};
-use stonefold_proto::resp::{Malformed, next_frame};
-use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{debug, trace};
 
 use super::Clients;
 use super::absent::{UnreadSince, gone, linger, unless_gone};
-use super::command::{CommandError, announced, arguments, parse_command};
+use super::command::announced;
 use super::idle::{IdleSlot, IdleState};
-use super::owed::{Due, Held, OpenId, Outgoing, Owed, Pending, encode, next, outgoing};
+use super::owed::{Due, Outgoing, Owed, encode, next, outgoing};
 use crate::invariants::Invariant;
-use crate::message::{Arrival, Message, Surplus};
-use crate::metrics::InFlight;
+use crate::message::Message;
 use crate::presence::Presence;
-use crate::relay::{CHUNK, LARGEST, Room, STUCK, WHOLE};
-use crate::request::Command;
+use crate::relay::{CHUNK, Room, STUCK, WHOLE};
 
 /// Room for a command that does not tell how long it is.
 const UNTOLD: usize = 2 * WHOLE;
@@ -308,120 +304,6 @@
     fn recount(&mut self) {
         self.open = self.owed.iter().filter(|owed| owed.is_open()).count();
     }
-
-    /// The longest command that is read: no longer than there is room for it.
-    fn frame_limit(&self) -> usize {
-        match &self.large {
-            Some(room) => room.num_permits().max(UNTOLD),
-            None => LARGEST,
-        }
-    }
-
-    /// Whether another command may be begun.
-    fn may_begin(&self) -> bool {
-        let room = || self.shared.held.load(Ordering::Relaxed) < self.shared.bounds.memory / 2;
-        self.broken.is_none() && self.owed.len() < OWED && (self.owed.is_empty() || room())
-    }
-
-    /// Begins commands that have come whole, as many as have their turn.
-    fn begin(&mut self) {
-        let before = self.buffer.len();
-        self.more = self.begin_some();
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new(); // what has grown goes back
-        }
-        if self.buffer.len() < before {
-            self.since = Instant::now();
-            self.large = None; // it was for the command that has gone; the next one tells anew
-        }
-    }
-
-    /// Tells whether there may be more.
-    fn begin_some(&mut self) -> bool {
-        for _ in 0..TURN {
-            if !self.may_begin() {
-                return false;
-            }
-            let (before, limit) = (self.buffer.len(), self.frame_limit());
-            let owed = match next_frame(&mut self.buffer, limit).map(|f| f.map(arguments)) {
-                Ok(None) => return false,
-                Ok(Some(Ok(parts))) => self.command(&parts, before - self.buffer.len()),
-                Ok(Some(Err(Malformed))) | Err(Malformed) => {
-                    self.broken = Some(Instant::now());
-                    self.buffer.clear();
-                    Owed::Ready(BytesFrame::Error("ERR malformed command".into()))
-                }
-            };
-            self.owed.push_back(owed);
-        }
-        true
-    }
-
-    fn command(&mut self, parts: &[Bytes], length: usize) -> Owed {
-        let owed = match parts {
-            [name] if name.eq_ignore_ascii_case(b"PING") => {
-                Ok(Owed::Ready(BytesFrame::SimpleString("PONG".into())))
-            }
-            _ => parse_command(parts).and_then(|command| self.request(command, length)),
-        };
-        self.heard |= owed.is_ok();
-        owed.unwrap_or_else(|error| Owed::Ready(BytesFrame::Error(format!("ERR {error}").into())))
-    }
-
-    fn request(&mut self, command: Command, length: usize) -> Result<Owed, CommandError> {
-        // Guards against: requests that name a class which the settings lack, sent on to servers that turn
-        // them away. One that names none is served.
-        if command.fact("c").is_some_and(|class| !self.shared.terms.borrow().classes.contains(class)) {
-            return Err(CommandError::Class);
-        }
-        if self.open >= PIPELINED {
-            return Ok(self.refuse(&command));
-        }
-        // Guards against: the answer to another client's request, or one for both.
-        let open_id = OpenId::take(&command.id, &self.shared.open_ids).ok_or(CommandError::InUse)?;
-        let room = if length >= SMALL { self.large.take() } else { None };
-        let in_flight = InFlight::new(&self.shared.metrics);
-        let held = Held::new(PER_REQUEST + length, &self.shared.held);
-        let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
-        let (sender, answer) = oneshot::channel();
-        if self.shared.stalls.earliest_arrival(self.read_at) < self.read_at {
-            self.shared.metrics.read_after_stall.add_one();
-        }
-        trace!(event = "taken", request = %String::from_utf8_lossy(&command.id), wait_us = command.wait,
-            came_us_ago = self.came_at.elapsed().as_micros() as u64, "a request is taken");
-        if self.shared.closing.silent.is_cancelled() {
-            self.shared.metrics.violations.note(Invariant::NoLateStart, &command.id);
-        }
-        let due = Due { at: self.came_at + Duration::from_micros(command.wait), request: command.id.clone() };
-        let client = self.presence.clone();
-        let arrival = Arrival { id, command, at: self.came_at, answer: sender, client };
-        // A driver that is gone drops the sender, and the request ends as failed.
-        let _ = self.shared.to.send(Message::Arrived(arrival));
-        self.open += 1;
-        self.asked = true;
-        Ok(Owed::Waiting(Pending {
-            id,
-            due,
-            answer,
-            _open_id: open_id,
-            _held: held,
-            _room: room,
-            _in_flight: in_flight,
-        }))
-    }
-}
-
-impl Session {
-    /// Refuses a request that was never begun, so that its client may try again. How long it is to wait first is
-    /// the driver's to say.
-    fn refuse(&mut self, command: &Command) -> Owed {
-        let (sender, answer) = oneshot::channel();
-        let class = command.fact("c").map(str::to_owned);
-        // A driver that is gone drops the sender, and the request ends as failed.
-        let _ = self.shared.to.send(Message::Surplus(Surplus { class, answer: sender }));
-        self.asked = true;
-        Owed::Refused(answer)
-    }
 }
 
 /// Tells a client of which nothing good has come for too long so, and ends its connection.
