--- a/crates/cli/tests/store.rs
+++ b/crates/cli/tests/store.rs
@@ -5,6 +5,7 @@
 #[path = "common/fakes.rs"]
 mod fakes;
 
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -13,6 +14,7 @@
 
 use addresses::free_address;
 use fakes::*;
+use stonefold_faults::{Fault, FaultPlan, library_beside};
 
 const CACHE: &str = "s-5be2a07c";
 
@@ -39,6 +41,8 @@
     key: PathBuf,
     stores: Vec<SocketAddr>,
     cluster: String,
+    /// More of its processes' environment.
+    environment: Vec<(&'static str, OsString)>,
 }
 
 /// What a node is told beside its store.
@@ -82,7 +86,7 @@
         let dir = tempfile::tempdir().unwrap();
         let key = dir.path().join("key");
         let stores: Vec<SocketAddr> = (0..members).map(|_| free_address()).collect();
-        let mut site = Site { dir, key, stores, cluster: String::new() };
+        let mut site = Site { dir, key, stores, cluster: String::new(), environment: Vec::new() };
         site.cluster = site.init(0, None).trim().to_owned();
         (1..members).for_each(|n| _ = site.init(n, Some(&site.cluster)));
         site
@@ -147,7 +151,8 @@
         let file = self.path(name);
         std::fs::write(&file, config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_stonefold"));
-        command.env_clear().args(["node", "--config", &file]).stderr(Stdio::piped());
+        command.env_clear().envs(self.environment.iter().cloned());
+        command.args(["node", "--config", &file]).stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (mut clients, mut operators, mut relay) = (None, None, None);
@@ -231,6 +236,32 @@
     });
 }
 
+#[test]
+fn orders_bind_all_though_calls_are_short_and_interrupted() {
+    const ORDERS: usize = 10;
+    let plan = FaultPlan::new(9).unwrap();
+    let library = library_beside(&std::env::current_exe().unwrap()).unwrap();
+    let site = Site { environment: plan.environment(&library).into(), ..Site::new(3) };
+    let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let mut nodes = vec![site.start(0, discovery.addr, "10s")];
+    nodes.extend((1..3).map(|n| site.start(n, free_address(), "0s")));
+    answering(discovery, known);
+    for (n, member) in [(1, "2"), (2, "3")] {
+        site.store(0, &["store", "add", member, &site.stores[n].to_string()]);
+    }
+    nodes.iter().for_each(|node| node.until("svc_hosts_listed", "1"));
+    for fault in [Fault::ShortRead, Fault::ShortWrite, Fault::InterruptedRead, Fault::InterruptedWrite] {
+        plan.set(fault, 0.1).unwrap();
+    }
+    for n in 0..ORDERS {
+        let (call, down) = if n.is_multiple_of(2) { ("DISABLE", "1") } else { ("ENABLE", "0") };
+        nodes[n % 3].order(call);
+        nodes.iter().for_each(|node| node.until("svc_hosts_down", down));
+    }
+    assert!(plan.injected(Fault::ShortWrite).unwrap() > 0);
+}
+
 #[test]
 fn what_one_node_learns_all_know_and_still_do_after_all_were_killed_at_once() {
     let site = Site::new(3);
