Test that a planted violation is counted under its own name, and a late answer as late

Found on reading again: no check of an invariant had been seen to fail. Change: tests that plant each count, and an answer just within and just beyond the slack; the code they test is unchanged. The checks in the driver and at a close are not planted yet.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -22,6 +22,8 @@
 use tracing::warn;
 
 use idle::IdleConnections;
+#[cfg(test)]
+pub use owed::Due;
 use session::Session;
 
 use crate::bounds::Bounds;
--- a/crates/node/src/invariants.rs
+++ b/crates/node/src/invariants.rs
@@ -73,3 +73,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
