node: relay a cache's long value whose header comes with no byte of it

Callers saw: reads of values of 66 KiB to 4 MiB answered -BUSY after five attempts, writes -ERR failed, for as long as a cache's reply reached the node with its header alone.

Cause: where no byte of the value had come, take_large_value_header said that there was no such header, and decode_frame held the announced length against the limit of replies that are read whole (66 KiB). The attempt ended as ServerError.

Change: take_reply_start tells a long value whose first byte is there, one that is awaited, and any other reply apart; only the last is held against that limit. So the node waits for the value, as it does within it.

Test: crates/cli/tests/pieces.rs cuts each kind of message that the node reads from a stream at each byte and at the limits of its length.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -42,6 +42,13 @@
     pub fn http(mut self, status: &str, body: &str) {
         self.answer(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
     }
+    /// Answers a request that the node may give up while the answer comes.
+    pub fn http_or_closed(mut self, status: &str, body: &str) {
+        self.try_answer(&format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
     pub fn close(self) {
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::attempt::AttemptResult;
-use super::cache_protocol::{command_header, parse_reply, take_large_value_header};
+use super::cache_protocol::{ReplyStart, command_header, parse_reply, take_reply_start};
 use super::send_permit::{SendPermit, StatedTime};
 use crate::metrics::Metrics;
 use crate::relay::{
@@ -84,15 +84,18 @@
     async fn read_reply(&mut self, relay: RelayContext) -> Result<CacheReply, Outcome> {
         let mut buffer = BytesMut::new();
         loop {
-            if let Some(length) = take_large_value_header(&mut buffer) {
-                let result = self.relay_value(length, buffer.freeze(), relay).await?;
-                return Ok(CacheReply { result, reusable: true });
-            }
-            if let Some(frame) =
-                decode_frame(&mut buffer, MAX_REPLY_BYTES).map_err(|_| Outcome::ServerError)?
-            {
-                let result = parse_reply(frame).map_err(|_| Outcome::ServerError)?;
-                return Ok(CacheReply { result, reusable: buffer.is_empty() });
+            match take_reply_start(&mut buffer) {
+                ReplyStart::LargeValue { length } => {
+                    let result = self.relay_value(length, buffer.freeze(), relay).await?;
+                    return Ok(CacheReply { result, reusable: true });
+                }
+                // Longer than the limit of the other replies.
+                ReplyStart::LargeValueAwaited => {}
+                ReplyStart::Other => {
+                    if let Some(reply) = take_buffered_reply(&mut buffer)? {
+                        return Ok(reply);
+                    }
+                }
             }
             match self.0.read_buf(&mut buffer).await {
                 Ok(0) | Err(_) => return Err(Outcome::ConnectionReset),
@@ -167,6 +170,14 @@
     }
 }
 
+/// Takes a reply without a large value out of the buffer, or returns `None` if it is not complete yet.
+fn take_buffered_reply(buffer: &mut BytesMut) -> Result<Option<CacheReply>, Outcome> {
+    let frame = decode_frame(buffer, MAX_REPLY_BYTES).map_err(|_| Outcome::ServerError)?;
+    let Some(frame) = frame else { return Ok(None) };
+    let result = parse_reply(frame).map_err(|_| Outcome::ServerError)?;
+    Ok(Some(CacheReply { result, reusable: buffer.is_empty() }))
+}
+
 /// A reply that was read.
 struct CacheReply {
     result: AttemptResult,
--- a/crates/node/src/upstream/cache_protocol.rs
+++ b/crates/node/src/upstream/cache_protocol.rs
@@ -37,19 +37,37 @@
     buffer.freeze()
 }
 
-/// Takes the header of a reply with a large value out of the buffer, and returns the length of the value.
-pub(crate) fn take_large_value_header(buffer: &mut BytesMut) -> Option<usize> {
-    let rest = buffer.strip_prefix(VALUE_REPLY_PREFIX)?;
-    let digits = rest.iter().take(MAX_LENGTH_DIGITS).position(|&byte| byte == b'\r')?;
-    let length = str::from_utf8(&rest[..digits]).ok()?.parse().ok()?;
-    let is_large = (MAX_BUFFERED_BYTES + 1..=MAX_VALUE_BYTES).contains(&length);
-    let header = buffer.len() - rest.len() + digits + 2;
+/// How the bytes of a reply that have been read so far begin.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum ReplyStart {
+    /// With a large value of this many bytes, whose header has been taken out of the buffer. Its first byte is there.
+    LargeValue { length: usize },
+    /// With the complete header of a large value, and no byte of the value yet.
+    LargeValueAwaited,
+    /// With any other reply, or with too little to tell.
+    Other,
+}
+
+/// Determines how a reply begins, and takes the header of a large value out of the buffer.
+pub(crate) fn take_reply_start(buffer: &mut BytesMut) -> ReplyStart {
+    let Some((header, length)) = large_value_header(buffer) else { return ReplyStart::Other };
     // The attempt wins with the first bytes of the value, so that the header alone is not enough.
-    if !is_large || !rest[digits..].starts_with(b"\r\n") || buffer.len() <= header {
-        return None;
+    if buffer.len() == header {
+        return ReplyStart::LargeValueAwaited;
     }
     buffer.advance(header);
-    Some(length)
+    ReplyStart::LargeValue { length }
+}
+
+/// The lengths of the header of a large value, and of the value.
+fn large_value_header(reply: &[u8]) -> Option<(usize, usize)> {
+    let rest = reply.strip_prefix(VALUE_REPLY_PREFIX)?;
+    let digits = rest.iter().take(MAX_LENGTH_DIGITS).position(|&byte| byte == b'\r')?;
+    let length = str::from_utf8(&rest[..digits]).ok()?.parse().ok()?;
+    let is_large = (MAX_BUFFERED_BYTES + 1..=MAX_VALUE_BYTES).contains(&length);
+    let is_complete = rest[digits..].starts_with(b"\r\n");
+    let header = VALUE_REPLY_PREFIX.len() + digits + 2;
+    (is_large && is_complete).then_some((header, length))
 }
 
 /// Interprets a reply. An error that the protocol does not define may have followed the execution of the request.
