node: log whether an attempt at a cache was written to its last byte

Need: a connection that breaks under a write ends the attempt as not run or as perhaps run, and the log didn't say which bytes had been taken by then, so that two hypotheses on a known red test could not be told apart.

Change: events request_written and request_cut_off at level trace; the id of a request as text is now made in one place. Nothing else of an attempt changes.

--- a/crates/node/src/clients/session/commands.rs
+++ b/crates/node/src/clients/session/commands.rs
@@ -152,7 +152,7 @@
         if self.context.stalls.earliest_arrival(self.read_at) < self.read_at {
             metrics.read_after_stall.increment();
         }
-        trace!(event = "request_received", request = %String::from_utf8_lossy(&request.id),
+        trace!(event = "request_received", request = %request.id_text(),
             timeout_us = request.timeout, received_us_ago = self.received_at.elapsed().as_micros() as u64,
             "a request has arrived");
         if self.context.closing.unused.is_cancelled() {
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -58,7 +58,7 @@
 impl OpenRequest {
     /// The id of the request, as the client gave it and servers get it.
     pub(crate) fn client_id(&self) -> Cow<'_, str> {
-        String::from_utf8_lossy(&self.request.id)
+        self.request.id_text()
     }
 
     /// Whether another attempt is forbidden: the request must not be repeated, and may have been executed.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,5 +1,6 @@
 //! A client's request and its response, independent of the protocol they are read from and written to.
 
+use std::borrow::Cow;
 use std::str;
 use std::time::Duration;
 
@@ -36,6 +37,11 @@
 }
 
 impl ClientRequest {
+    /// Its id as text, for logs.
+    pub(crate) fn id_text(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.id)
+    }
+
     /// The name of its class, if it has one.
     pub(crate) fn class_name(&self) -> Option<&str> {
         self.metadata_value(CLASS_FIELD)
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -7,6 +7,7 @@
 use stonefold_net::Socket;
 use stonefold_proto::resp::decode_frame;
 use tokio::time::{Instant, timeout};
+use tracing::trace;
 
 use super::attempt::AttemptResult;
 use super::cache_protocol::{ReplyStart, command_header, parse_reply, take_reply_start};
@@ -60,9 +61,13 @@
             return (AttemptResult::of(Outcome::NotSent), None);
         };
         // If the connection breaks before the last byte is written, the request was not executed. Later it may have been.
-        if self.write_request(request, stated).await.is_err() {
+        if let Err(error) = self.write_request(request, stated).await {
+            trace!(event = "request_cut_off", request = %request.id_text(), %error,
+                "a connection broke before the last byte was written");
             return (AttemptResult::of(Outcome::ConnectFailed), None);
         }
+        trace!(event = "request_written", request = %request.id_text(),
+            value_bytes = request.value.as_ref().map_or(0, Bytes::len), "the last byte was written");
         metrics.attempts_written.increment();
         metrics.deadline_excess.record(stated.excess(Instant::now()));
         match self.read_reply(relay).await {
