cli: make sure that a broken write is still under way in the test that says so

Callers are not concerned: the node was right.

Cause: the test's premise. The kernels of both sides at times take the whole 4,000,000 bytes before the cache closes, so that the write may have run.

Change: the stand-ins that read no values get a receive buffer of 16 KiB; a test asserts that such a connection takes less than the write.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -16,6 +16,22 @@
 /// Long enough for any machine; reached only by a test that fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A write of so many bytes is still under way while the peer reads none of it, where the listener is one
+/// [that takes little](listener_that_takes_little).
+pub const UNTAKEN_BYTES: usize = 4_000_000;
+/// The receive buffer of a server that takes little, in bytes.
+const SMALL_RECEIVE_BUFFER: usize = 16 << 10;
+
+/// A listener whose connections take little of what the peer writes before it is read. With the kernel's own buffers, a
+/// write of 4 MB may be taken whole.
+pub fn listener_that_takes_little() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap(); // its connections inherit it
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(128).unwrap();
+    socket.into()
+}
+
 /// What a scripted server was asked, and the connection to answer on.
 pub struct Call {
     /// A command's words; of HTTP the method, path, header lines and body.
@@ -72,14 +88,16 @@
         Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request)
     }
 
-    /// A cache that does not read the values of writes; they have to begin with a line's end.
+    /// A cache that does not read the values of writes; they have to begin with a line's end. The kernels of both sides
+    /// take less than [`UNTAKEN_BYTES`] of one.
     pub fn cache_without_values() -> Fake {
-        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), command_without_value)
+        Fake::serving(listener_that_takes_little(), command_without_value)
     }
 
-    /// An origin that does not read the bodies of requests; they have to begin with a line's end.
+    /// An origin that does not read the bodies of requests; they have to begin with a line's end. The kernels of both
+    /// sides take less than [`UNTAKEN_BYTES`] of one.
     pub fn http_without_bodies() -> Fake {
-        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request_without_body)
+        Fake::serving(listener_that_takes_little(), request_without_body)
     }
 
     fn serving(listener: TcpListener, read: ReadCall) -> Fake {
--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -4,6 +4,8 @@
 #[path = "common/fakes.rs"]
 mod fakes;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -240,6 +242,21 @@
     assert_eq!(node.figure("svc_unasked_total"), 1.0);
 }
 
+/// Guards the tests of broken writes against kernels that take a long write whole: then it may have run.
+#[test]
+fn a_server_that_takes_little_leaves_a_long_write_under_way() {
+    let listener = listener_that_takes_little();
+    let mut writer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let _unread = listener.accept().unwrap();
+    writer.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+    let block = [b'x'; 64 << 10];
+    let mut taken = 0;
+    while let Ok(written) = writer.write(&block) {
+        taken += written;
+        assert!(taken < UNTAKEN_BYTES, "{taken} bytes are taken unread");
+    }
+}
+
 #[test]
 fn a_used_connection_that_breaks_while_a_write_goes_out_has_not_run_it() {
     let (cache, origin) = (Fake::cache_without_values(), Fake::http());
@@ -252,7 +269,7 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
     client.rest();
     // More than the kernels of both sides take: the node is still writing when the cache closes.
-    client.set("k", "c=put,d=60000,k=1", &format!("\n{}", "x".repeat(4_000_000)));
+    client.set("k", "c=put,d=60000,k=1", &format!("\n{}", "x".repeat(UNTAKEN_BYTES)));
     // Of an effect that is not repeated: it is sent again, and refused at last, since it never ran.
     let mut connections = vec![];
     let answer = loop {
@@ -299,7 +316,7 @@
 #[test]
 fn a_used_connection_to_the_origin_that_breaks_under_a_write_may_have_run_it() {
     // While it is written, and after.
-    for length in [4_000_000, 1] {
+    for length in [UNTAKEN_BYTES, 1] {
         let (cache, origin) = (Fake::cache(), Fake::http_without_bodies());
         let known = list(41, &[(CACHE, cache.addr)], origin.addr);
         let node = Start::new(&known, Fake::http().addr).node();
