node: log what is known of a server in slow start at each attempt to it

Need: a known red test counts reads at a server that has started. Whether the node misjudged the start or the reads took longer could not be told from the log.

Change: Balancer::warm_up_status, a query without effect, and the event attempt_to_warming_server at level trace with the server's age as the node knows it, its capacity fraction and the calls that are left. Below that level nothing is computed.

Result: no decision changes; the balancer's tests pass.

--- a/crates/balancer/src/balancer/selection.rs
+++ b/crates/balancer/src/balancer/selection.rs
@@ -6,6 +6,7 @@
 use crate::latency::LatencyEstimate;
 use crate::server::Server;
 use crate::server_selection::{Candidate, load};
+use crate::slow_start::WarmUpStatus;
 use crate::tier::Tier;
 
 impl Balancer {
@@ -64,6 +65,18 @@
         server.warm_up.remaining_calls(&slow_start, capacity, self.now)
     }
 
+    /// The slow start of a server; none once it is warm or if it is unknown.
+    pub fn warm_up_status(&self, server: ServerId) -> Option<WarmUpStatus> {
+        let server = self.servers.get(server)?;
+        let slow_start = self.settings.slow_start();
+        let started_at = server.warm_up.started_at()?;
+        server.warm_up.is_active(&slow_start, self.now).then(|| WarmUpStatus {
+            age: self.now.saturating_sub(started_at),
+            capacity_fraction: server.warm_up.capacity_fraction(&slow_start, self.now),
+            remaining_calls: self.remaining_calls(server),
+        })
+    }
+
     /// The load of a cache, for comparison with others'.
     fn load_of(&self, server: &Server) -> f64 {
         let in_flight = self.tiers[Tier::Caches].limit.in_flight();
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -58,6 +58,7 @@
 };
 pub use balancer::Balancer;
 pub use server_list::CacheCounts;
+pub use slow_start::WarmUpStatus;
 
 /// The README's example, compiled and run as a test.
 #[cfg(doctest)]
--- a/crates/balancer/src/slow_start.rs
+++ b/crates/balancer/src/slow_start.rs
@@ -75,6 +75,17 @@
     }
 }
 
+/// The slow start of a server at one time, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUpStatus {
+    /// For how long the server has run as far as is known, in microseconds.
+    pub age: Micros,
+    /// The part of its capacity that the server is certain to have, 0 to 1.
+    pub capacity_fraction: f64,
+    /// Calls that this node may send now.
+    pub remaining_calls: u64,
+}
+
 /// Since when a server is warming up: its start by the endpoint list, or since operators enabled it, as they
 /// may have restarted it. None if both are longer ago than `duration`.
 pub(crate) fn warming_up_since(
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -6,7 +6,7 @@
 use stonefold_balancer::{AttemptEnd, AttemptId, Event, Micros, Outcome, RequestId, ServerId};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
-use tracing::trace;
+use tracing::{Level, enabled, trace};
 
 use super::open_request::{AttemptState, RunningAttempt};
 use super::{Driver, Timer};
@@ -75,6 +75,7 @@
         let open = &self.open[&id];
         trace!(event = "attempt_started", request = %open.client_id(), attempt = attempt.number, at = %target.addr,
             new_connection = pooled.is_none(), timeout_us = timeout.as_micros() as u64, "an attempt is in flight");
+        self.log_warm_up(attempt, server);
         // An attempt may continue for other requests; its server gets no more time than its own client.
         let deadline = due.min(open.deadline);
         let task = self.spawn_attempt(attempt, server, target, pooled, deadline);
@@ -84,6 +85,18 @@
         self.running += 1;
     }
 
+    /// Logs what the balancer knows of a server that is warming up, after it was sent this attempt.
+    fn log_warm_up(&self, attempt: AttemptId, server: ServerId) {
+        if !enabled!(Level::TRACE) {
+            return;
+        }
+        let Some(status) = self.balancer.warm_up_status(server) else { return };
+        let Some(open) = self.open.get(&attempt.request) else { return };
+        trace!(event = "attempt_to_warming_server", request = %open.client_id(), attempt = attempt.number,
+            age_us = status.age, capacity_fraction = status.capacity_fraction,
+            remaining_calls = status.remaining_calls, "the server has started a short while ago");
+    }
+
     /// Returns the target of an attempt and an idle connection to it, or `None` if the server is unknown or there are too
     /// many connections. May close the oldest idle connection in favour of a new one.
     fn check_out(
