membership: keep the notice of a failure while the member refutes again

Membership is off unless configured.

Cause: apply_alive dropped the notice for a returned member whenever it was heard in a still later incarnation. A probe begun before the return that timed out after it made a node suspect the member anew; the member refuted that, and all others dropped their notices before any had been sent. Evidence: in all 5 failing logs member_suspected member="n1" comes 4 to 39 ms after the last member_returned, while probes go out each 200 ms.

Change: only a restart under another instance ends the notice. Test: failure_notice.rs, red before.

--- a/crates/membership/src/detector/updates.rs
+++ b/crates/membership/src/detector/updates.rs
@@ -141,11 +141,12 @@
         let profile = profile.clone();
         self.table.set(id, Member { profile, incarnation, state: State::Alive, since, reachability });
         if let Some(entry) = self.table.get_mut(id) {
-            let returned = old.state == State::Failed && !restarted;
-            entry.failure_notice = returned.then_some(FailureNotice {
-                incarnation: old.incarnation,
-                remaining: self.settings.transmissions,
-            });
+            if restarted {
+                entry.failure_notice = None;
+            } else if old.state == State::Failed {
+                let remaining = self.settings.transmissions;
+                entry.failure_notice = Some(FailureNotice { incarnation: old.incarnation, remaining });
+            }
         }
         let event = match old.state {
             _ if restarted && old.state != State::Left => Event::Restarted { name },
