membership: notify a returned member until it has answered a ping with the notice

Cause: each other node sent the notice eight times and then forgot it, whether or not it had arrived.

Change: a notice stays until a probe all of whose pings carried it is answered by the member itself; a suspicion no longer takes its place in a message. No message changes its form, and a notice that arrives costs one more update or two as before.

--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -135,6 +135,7 @@
         self.clear_suspicion(from, now, out);
         if let Some(entry) = self.table.get_mut(from) {
             entry.indirect_only_probes = 0;
+            entry.failure_notice = entry.failure_notice.filter(|notice| !notice.is_delivered_by(number));
         }
         self.set_reachability(from, Reachability::Direct, now, out);
     }
--- a/crates/membership/src/detector/receiving.rs
+++ b/crates/membership/src/detector/receiving.rs
@@ -77,21 +77,23 @@
     /// What this node believes of a member that the member should refute or know; for an unknown member, this node's
     /// own record.
     ///
-    /// A member that has returned from failure is notified of the failure several times, since datagrams get lost, most
-    /// of all those to a process that was stopped and whose socket buffer is full.
-    pub(super) fn updates_to_refute(&mut self, id: MemberId) -> Vec<Update> {
+    /// A member that has returned from failure is notified of the failure until it has answered a ping that carried the
+    /// notice, since datagrams get lost, most of all those to a process that was stopped and whose socket buffer is full.
+    pub(super) fn updates_to_refute(&self, id: MemberId) -> Vec<Update> {
         let (by, own) = (self.id, self.own_update());
-        let Some(entry) = self.table.get_mut(id) else { return vec![own] };
-        let profile = entry.member.profile.clone();
-        let (incarnation, claim) = match (entry.member.state, &mut entry.failure_notice) {
-            (State::Suspect, _) => (entry.member.incarnation, Claim::Suspect { by }),
-            (State::Failed, _) => (entry.member.incarnation, Claim::Failed { by, profile }),
-            (State::Alive, Some(notice)) if notice.remaining > 0 => {
-                notice.remaining -= 1;
-                (notice.incarnation, Claim::Failed { by, profile })
-            }
-            (State::Alive | State::Left, _) => return Vec::new(),
+        let Some(entry) = self.table.get(id) else { return vec![own] };
+        let profile = || entry.member.profile.clone();
+        let of_state = match entry.member.state {
+            State::Suspect => Some(Claim::Suspect { by }),
+            State::Failed => Some(Claim::Failed { by, profile: profile() }),
+            State::Alive | State::Left => None,
         };
-        vec![Update { id, incarnation, claim }]
+        let state = of_state.map(|claim| Update { id, incarnation: entry.member.incarnation, claim });
+        let notice = entry.failure_notice.filter(|_| entry.member.is_live()).map(|notice| Update {
+            id,
+            incarnation: notice.incarnation,
+            claim: Claim::Failed { by, profile: profile() },
+        });
+        state.into_iter().chain(notice).collect()
     }
 }
--- a/crates/membership/src/detector/updates.rs
+++ b/crates/membership/src/detector/updates.rs
@@ -140,12 +140,12 @@
         self.end_suspicion(id);
         let profile = profile.clone();
         self.table.set(id, Member { profile, incarnation, state: State::Alive, since, reachability });
+        let next_probe = self.next_probe_number;
         if let Some(entry) = self.table.get_mut(id) {
             if restarted {
                 entry.failure_notice = None;
             } else if old.state == State::Failed {
-                let remaining = self.settings.transmissions;
-                entry.failure_notice = Some(FailureNotice { incarnation: old.incarnation, remaining });
+                entry.failure_notice = Some(FailureNotice::new(old.incarnation, next_probe));
             }
         }
         let event = match old.state {
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -14,13 +14,26 @@
 /// The leading bits of a member's id that select its bucket.
 const BUCKET_BITS: u32 = BUCKETS.trailing_zeros();
 
-/// A failure that a returned member has still to be notified of.
+/// A failure that a returned member has still to be notified of. It is sent with each message to the member until a ping
+/// that carried it was answered.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FailureNotice {
     /// The incarnation under which it was declared failed.
     pub(crate) incarnation: u64,
-    /// How often the notice is still sent.
-    pub(crate) remaining: u32,
+    /// The first probe all of whose pings carry the notice.
+    first_probe: u32,
+}
+
+impl FailureNotice {
+    /// A notice that is carried by all pings of the probes with this number and later ones.
+    pub(crate) fn new(incarnation: u64, next_probe: u32) -> FailureNotice {
+        FailureNotice { incarnation, first_probe: next_probe }
+    }
+
+    /// Whether an answered probe shows that the member has received the notice. Probe numbers wrap around.
+    pub(crate) fn is_delivered_by(&self, probe: u32) -> bool {
+        probe.wrapping_sub(self.first_probe) <= u32::MAX / 2
+    }
 }
 
 /// What was last reported about a member's reachability.
--- a/crates/membership/tests/failure_notice.rs
+++ b/crates/membership/tests/failure_notice.rs
@@ -7,6 +7,7 @@
 };
 
 const START_MS: u64 = 1_790_000_000_000;
+const SECOND: Micros = 1_000_000;
 /// The process of the member that fails and returns.
 const INSTANCE: u64 = 9;
 
@@ -30,18 +31,22 @@
         let detector = Detector::new(Settings::default(), profile("me", 1), vec![], START_MS, 0, 7);
         let mut pair = Pair { detector, sequence: 0 };
         let claim = Claim::Failed { by: MemberId::of("third"), profile: profile("other", INSTANCE) };
-        let failed = Update { id: MemberId::of("other"), incarnation: START_MS, claim };
-        let from = Message {
+        pair.claim(1, START_MS, claim);
+        pair
+    }
+
+    /// Delivers what a third member claims of the member.
+    fn claim(&mut self, sequence: u64, incarnation: u64, claim: Claim) {
+        let message = Message {
             from: MemberId::of("third"),
             instance: 3,
             incarnation: START_MS,
-            sequence: 1,
+            sequence,
             digest: 0,
             body: Body::SyncRecords,
-            updates: vec![failed],
+            updates: vec![Update { id: MemberId::of("other"), incarnation, claim }],
         };
-        pair.detector.on_message(1, at(7_002), from, &mut Vec::new());
-        pair
+        self.detector.on_message(1, at(7_002), message, &mut Vec::new());
     }
 
     /// Delivers a message of the member in this incarnation, and returns what the detector sends.
@@ -88,4 +93,34 @@
     assert!(pair.deliver(2, START_MS + 1, Body::Gossip).iter().all(|message| !is_notice(message)));
     pair.deliver(3, START_MS + 2, Body::Gossip);
     assert!(pair.tells(4, START_MS + 2));
+    // Nor does a suspicion take its place.
+    pair.claim(2, START_MS + 2, Claim::Suspect { by: MemberId::of("third") });
+    assert!(pair.tells(5, START_MS + 2));
+}
+
+/// Guards against a notice that is lost with the datagrams that carried it.
+#[test]
+fn a_returned_member_is_notified_until_it_has_answered_a_ping_that_carried_the_notice() {
+    let mut pair = Pair::with_failed_member();
+    // None of these answers shows that it was received.
+    for round in 0..50 {
+        assert!(pair.tells(2 + round, START_MS + 1), "answer {round}");
+    }
+    let mut out = Vec::new();
+    let mut now = 100;
+    let probe = loop {
+        now += SECOND;
+        pair.detector.on_timer(now, &mut out);
+        let pings = sent(std::mem::take(&mut out)).into_iter().filter(is_notice);
+        let mut numbers = pings.filter_map(|message| match message.body {
+            Body::Ping { probe } => Some(probe),
+            _ => None,
+        });
+        if let Some(probe) = numbers.next() {
+            break probe;
+        }
+        assert!(now < 60 * SECOND, "no ping carries the notice");
+    };
+    pair.deliver(now + 1, START_MS + 1, Body::Ack { probe });
+    assert!(!pair.tells(now + 2, START_MS + 1), "it has received the notice");
 }
--- a/crates/membership/tests/sim/cases.rs
+++ b/crates/membership/tests/sim/cases.rs
@@ -10,6 +10,10 @@
 pub(crate) const TOLERATED_PAUSE: Micros = 10 * SECOND;
 /// After a heal all views agree within this time, among at most 30 nodes.
 pub(crate) const CONVERGENCE_BOUND: Micros = 60 * SECOND;
+/// More notices of its failure than all other nodes together send a member, if each sends it as often as an update.
+const LOST_NOTICES: usize = 200;
+/// A node that was declared failed learns of it within this time after it runs again, where so many notices are lost.
+const NOTICE_BOUND: Micros = 600 * SECOND;
 /// Nodes that start together know each other after this time, among at most 30.
 const STARTUP_TIME: Micros = 20 * SECOND;
 
@@ -23,6 +27,7 @@
 pub(crate) const CASES: &[Case] = &[
     Case { name: "rough network", play: rough_network },
     Case { name: "pauses", play: pauses },
+    Case { name: "pause until failed", play: pause_until_failed },
     Case { name: "pause with a suspicion", play: pause_with_a_suspicion },
     Case { name: "kill", play: kill },
     Case { name: "one-sided cut of two", play: one_sided_cut },
@@ -106,6 +111,32 @@
     found
 }
 
+/// A node is paused until all others have declared it failed. When it resumes it learns of that, though the first
+/// datagrams that tell it are lost: none, as many as one node sends of an update, or many.
+fn pause_until_failed(seed: u64, planted: Option<Planted>) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut fleet = fleet(nodes(seed), network(seed), seed, planted);
+    let others: Vec<usize> = (0..fleet.processes.len()).filter(|node| *node != 1).collect();
+    fleet.pause(1, DETECTION_BOUND);
+    let failed = |fleet: &Fleet| others.iter().all(|by| fleet.state(*by, 1) == Some(State::Failed));
+    if fleet.run_until(DETECTION_BOUND, failed).is_none() {
+        return vec!["the paused node is not failed in time".into()];
+    }
+    fleet.lost_failure_notices =
+        [0, fleet.settings.transmissions as usize, LOST_NOTICES][(seed % 3) as usize];
+    let learned = |fleet: &Fleet| {
+        fleet
+            .events
+            .iter()
+            .any(|(_, node, event)| *node == 1 && matches!(event, Event::DeclaredFailed { .. }))
+    };
+    if fleet.run_until(DETECTION_BOUND + NOTICE_BOUND, learned).is_none() {
+        found.push("the node that was failed does not learn of it".into());
+    }
+    agree_in(&mut fleet, CONVERGENCE_BOUND, &mut found);
+    found
+}
+
 /// A node is paused while it suspects another one, which refutes that in this time: it declares nobody failed when it
 /// resumes.
 fn pause_with_a_suspicion(seed: u64, planted: Option<Planted>) -> Vec<String> {
--- a/crates/membership/tests/sim/mod.rs
+++ b/crates/membership/tests/sim/mod.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use stonefold_membership::{
-    Claim, Codec, Detector, Event, MemberId, Message, Micros, Output, Profile, Settings, State,
+    Claim, Codec, Detector, Event, MemberId, Message, Micros, Output, Profile, Settings, State, Update,
 };
 
 pub(crate) const MILLISECOND: Micros = 1_000;
@@ -32,6 +32,12 @@
     StaleIncarnationWins,
 }
 
+/// Whether a message tells its receiver that it was declared failed.
+fn is_failure_notice(message: &Message, receiver: MemberId) -> bool {
+    let is_notice = |update: &Update| update.id == receiver && matches!(update.claim, Claim::Failed { .. });
+    message.updates.iter().any(is_notice)
+}
+
 /// The behaviour of every link.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Network {
@@ -99,6 +105,8 @@
     /// The reported events: when, by which node, and the event.
     pub(crate) events: Vec<(Micros, usize, Event)>,
     pub(crate) settings: Settings,
+    /// So many of the next datagrams that tell their receiver of its own failure are lost.
+    pub(crate) lost_failure_notices: usize,
     /// Whether a datagram from one node to another is cut off.
     pub(crate) cut: Box<dyn Fn(usize, usize) -> bool>,
     rng: fastrand::Rng,
@@ -135,6 +143,7 @@
             planted: None,
             events: Vec::new(),
             settings: Settings::default(),
+            lost_failure_notices: 0,
             cut: Box::new(|_, _| false),
             rng: fastrand::Rng::with_seed(seed),
             queue: BinaryHeap::new(),
@@ -298,6 +307,10 @@
         process.packets += 1;
         let Some(detector) = &mut process.detector else { return };
         let Ok(mut message) = self.codec.decode(bytes) else { panic!("a datagram that cannot be read") };
+        if self.lost_failure_notices > 0 && is_failure_notice(&message, MemberId::of(&name(to))) {
+            self.lost_failure_notices -= 1;
+            return;
+        }
         if let Some(planted) = self.planted {
             inject_fault(planted, &mut message, detector);
         }
--- a/crates/membership/tests/simulation.rs
+++ b/crates/membership/tests/simulation.rs
@@ -37,6 +37,7 @@
 cases! {
     a_rough_network: "rough network",
     pauses: "pauses",
+    a_pause_until_failed: "pause until failed",
     a_pause_with_a_suspicion: "pause with a suspicion",
     a_kill: "kill",
     a_one_sided_cut: "one-sided cut of two",
