node: log each eviction of a client's connection

Need: requests on kept connections ended in a close with no answer while accept failed; the log showed accept_failed and not whose connection was closed for it, nor whether bytes of it were waiting.

Change: event client_evicted at level debug, with whether the kernel has unread bytes of the connection. Nothing else changes.

--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -194,6 +194,8 @@
                     return replies::time_out(socket).await;
                 }
                 () = IdleSlot::evicted(&mut slot) => {
+                    debug!(event = "client_evicted", unread = socket.has_unread_bytes(),
+                        has_sent_request = self.has_sent_request, "a resting connection gives way to another");
                     socket.shutdown_write()?;
                     return Ok(Ending::Evicted);
                 }
