node: read what has arrived before a connection gives way to another

Callers saw: while clients are at their limit, or accept fails, a connection closed with the request on it unanswered.

Cause: an evicted session closed at once. It reads before it looks at the eviction, but only what the runtime has noticed; bytes that came since the runtime last polled its sockets were discarded.

A session that does not read (for want of memory for a long command) gives way as before.

Test, red before each time: a_command_that_has_arrived_is_answered_though_its_connection_is_evicted, one thread, the command written and the connection evicted before the runtime polls. Its counterpart holds that a resting connection does give way.

--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -196,8 +196,13 @@
                 () = IdleSlot::evicted(&mut slot) => {
                     debug!(event = "client_evicted", unread = socket.has_unread_bytes(),
                         has_sent_request = self.has_sent_request, "a resting connection gives way to another");
-                    socket.shutdown_write()?;
-                    return Ok(Ending::Evicted);
+                    slot = None;
+                    // What has arrived is served: a close would discard it.
+                    if !(turn.reads && turn.has_buffer && socket.has_unread_bytes()) {
+                        socket.shutdown_write()?;
+                        return Ok(Ending::Evicted);
+                    }
+                    yield_now().await; // lets the runtime notice the bytes
                 }
             }
             self.start_commands();
@@ -297,3 +302,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
