node: keep clients where accept fails while descriptors are free

Cause: each accept that failed with ENFILE or EMFILE evicted a connection, though the shortage may be over or another process's.

Change: the acceptor then asks for a descriptor (stonefold_net::descriptor_available, which opens the null device).

Test, red before: a_failed_accept_evicts_nobody_while_descriptors_are_free.

--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -166,6 +166,30 @@
     }
 }
 
+/// Guards against a shortage of a moment being paid for by clients that rest.
+#[test]
+fn a_failed_accept_evicts_nobody_while_descriptors_are_free() {
+    let plan = FaultPlan::new(7).unwrap();
+    let (cache, origin) = (Fake::cache(), Fake::http());
+    let known = list(41, &[(CACHE, cache.addr)], origin.addr);
+    let start = Start::new(&known, Fake::http().addr);
+    let node = Start { environment: plan.environment(&library()).into(), ..start }.node();
+    // One has not sent anything yet, and one rests after a command.
+    let mut resting = [node.client(), node.client()];
+    resting[1].ping();
+    // Longer than a new connection is spared in any case.
+    thread::sleep(Duration::from_millis(400));
+    plan.set(Fault::Accept, 1.0).unwrap();
+    let mut waiting = node.client();
+    thread::sleep(Duration::from_millis(300));
+    assert!(plan.injected(Fault::Accept).unwrap() > 10, "accept was tried again and again");
+    plan.clear().unwrap();
+    waiting.ping();
+    for client in &mut resting {
+        client.ping();
+    }
+}
+
 #[test]
 fn connections_that_break_cost_no_request_an_answer_on_others() {
     let (ended, plan, _node) = under(&[(Fault::BrokenPath, 0.02)]);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU32, AtomicUsize};
 use std::time::Duration;
 
-use stonefold_net::{Listener, SocketErrorKind};
+use stonefold_net::{Listener, SocketErrorKind, descriptor_available};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
@@ -161,9 +161,11 @@
                 }
                 Err(error) => {
                     warn!(event = "accept_failed", front = "clients", %error, "a connection is not accepted");
-                    match SocketErrorKind::of(&error) {
-                        SocketErrorKind::DescriptorsExhausted => self.evict_connection().await,
-                        _ => sleep(ACCEPT_RETRY_INTERVAL).await,
+                    let exhausted = SocketErrorKind::of(&error) == SocketErrorKind::DescriptorsExhausted;
+                    if exhausted && !descriptor_available() {
+                        self.evict_connection().await;
+                    } else {
+                        sleep(ACCEPT_RETRY_INTERVAL).await;
                     }
                 }
             }
