emulator: clients use a terminated node's open connections until it is killed

Change: clients go on with open connections of a node that gets no new ones. A kept connection that closes at a request has crossed it only within the answer slack; later the request is lost. With a crowd a new connection may be closed unread.

--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -1,16 +1,17 @@
 //! A load: the model's clients over real connections, open loop. Latency counts from the intended start.
 
+mod figures;
+mod process;
+
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::BytesMut;
-use hdrhistogram::Histogram;
 use redis_protocol::resp2::types::BytesFrame;
-use serde::Serialize;
 use stonefold_config::Idempotency;
 use stonefold_model::{Answer, ClientRequest, Clients, Micros, Retries};
 use stonefold_proto::resp::{append_command, decode_frame};
@@ -20,6 +21,9 @@
 use tokio::time::{sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
+pub use figures::{Figures, Summary};
+use process::Process;
+
 use crate::lock::locked;
 use crate::request::{self, is_for};
 use crate::world::{Emulator, World};
@@ -30,86 +34,6 @@
 const LARGEST: usize = (4 << 20) + 1024;
 /// A client waits so much longer than it said before it leaves.
 const LATE: Micros = 500_000;
-/// Latencies are kept up to a minute, to three digits.
-const LONGEST: u64 = 60_000_000;
-
-/// What came of the requests of a stretch of time.
-#[derive(Clone, Debug)]
-pub struct Figures {
-    /// By how they ended.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Failed, wrong answers and broken connections among them.
-    pub failed: u64,
-    /// Not sent, since too many were out.
-    pub not_sent: u64,
-    /// Asked once more after a refusal; the request counts once, by its last answer.
-    pub again: u64,
-    /// Of those served: from the intended start to the last byte, in microseconds.
-    pub latency: Histogram<u64>,
-}
-
-impl Default for Figures {
-    fn default() -> Figures {
-        // These bounds are valid: 1 to a minute, three digits.
-        let latency = Histogram::new_with_bounds(1, LONGEST, 3).expect("valid bounds");
-        Figures { served: 0, refused: 0, failed: 0, not_sent: 0, again: 0, latency }
-    }
-}
-
-/// Figures as numbers.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Summary {
-    /// Requests that ended.
-    pub requests: u64,
-    /// Served.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Failed.
-    pub failed: u64,
-    /// Not sent, since too many were out: the load was the bottleneck.
-    pub not_sent: u64,
-    /// Asked once more after a refusal.
-    pub again: u64,
-    /// Half of those served took no longer, in milliseconds.
-    pub p50_ms: f64,
-    /// Of a hundred of those served 99 took no longer, in milliseconds.
-    pub p99_ms: f64,
-    /// The slowest of those served, in milliseconds.
-    pub max_ms: f64,
-}
-
-impl Figures {
-    /// As numbers.
-    pub fn summary(&self) -> Summary {
-        let at = |quantile: f64| self.latency.value_at_quantile(quantile) as f64 / 1e3;
-        Summary {
-            requests: self.served + self.refused + self.failed,
-            served: self.served,
-            refused: self.refused,
-            failed: self.failed,
-            not_sent: self.not_sent,
-            again: self.again,
-            p50_ms: at(0.5),
-            p99_ms: at(0.99),
-            max_ms: self.latency.max() as f64 / 1e3,
-        }
-    }
-
-    fn add(&mut self, answer: Answer, took: Micros) {
-        match answer {
-            Answer::Served => {
-                self.served += 1;
-                self.latency.saturating_record(took.max(1));
-            }
-            Answer::Rejected => self.refused += 1,
-            Answer::Failed | Answer::Wrong => self.failed += 1,
-        }
-    }
-}
-
 /// A load on some nodes.
 pub struct Load {
     world: Arc<World>,
@@ -121,15 +45,8 @@
     figures: Mutex<(Figures, Figures)>,
     retries: Mutex<Retries>,
     out: Semaphore,
-}
-
-/// How a node's process stands, as the front that deals out connections knows it.
-#[derive(Default)]
-struct Process {
-    /// It gets no new connections: it was told to end, or is not there.
-    closed: AtomicBool,
-    /// How often it was killed.
-    kills: AtomicU64,
+    /// Whether idle clients occupy the nodes' descriptors, so that a new connection may be closed unread.
+    crowded: AtomicBool,
 }
 
 /// A try's number is its request's, with how often it was asked before from this bit on.
@@ -139,35 +56,47 @@
     /// A load on these nodes, from the clients of an emulator's site.
     pub fn new(emulator: &Emulator, nodes: Vec<SocketAddr>) -> Arc<Load> {
         let idle = nodes.iter().map(|_| Mutex::default()).collect();
-        let processes = nodes.iter().map(|_| Process::default()).collect();
+        let processes = nodes.iter().map(|_| Process::new()).collect();
         let (world, figures) = (emulator.world.clone(), Mutex::default());
         let retries = Mutex::new(Retries::new(world.site.retry.clone(), world.site.seed.get() as u64));
-        Arc::new(Load { world, nodes, processes, idle, figures, retries, out: Semaphore::new(MOST_OUT) })
+        let (out, crowded) = (Semaphore::new(MOST_OUT), AtomicBool::new(false));
+        Arc::new(Load { world, nodes, processes, idle, figures, retries, out, crowded })
     }
 
     /// The front deals a node no new connections from now on; those that are open stay in use.
     pub fn close_node(&self, node: usize) {
-        self.processes[node].closed.store(true, Ordering::Relaxed);
+        self.processes[node].close();
+    }
+
+    /// Idle clients occupy the nodes' descriptors from now on: a new connection may be closed unread.
+    pub fn set_crowded(&self) {
+        self.crowded.store(true, Ordering::Relaxed);
     }
 
-    /// A node's process is about to be killed: what it has in hand is owed by nobody. Called before the kill.
+    /// A node's process was sent a termination signal. Its connections stay in use for as long as they are open.
+    pub fn node_terminated(&self, node: usize) {
+        self.processes[node].terminate(self.world.now());
+    }
+
+    /// A node's process is about to be killed. What it has accepted need not be answered, unless it was sent a
+    /// termination signal well before. Called before the kill.
     pub fn node_killed(&self, node: usize) {
-        self.close_node(node);
-        self.processes[node].kills.fetch_add(1, Ordering::Relaxed);
+        self.processes[node].kill();
     }
 
     /// A node serves again.
     pub fn open_node(&self, node: usize) {
         locked(&self.idle[node]).clear();
-        self.processes[node].closed.store(false, Ordering::Relaxed);
+        self.processes[node].replace(self.world.now());
     }
 
     fn is_open(&self, node: usize) -> bool {
-        !self.processes[node].closed.load(Ordering::Relaxed)
+        self.processes[node].is_open()
     }
 
-    fn kills(&self, node: usize) -> u64 {
-        self.processes[node].kills.load(Ordering::Relaxed)
+    /// Whether a client would use a node: it may connect, or has a connection that is still open.
+    fn is_usable(&self, node: usize) -> bool {
+        self.is_open(node) || !locked(&self.idle[node]).is_empty()
     }
 
     /// The figures from the start, and those since this was last asked.
@@ -213,7 +142,7 @@
         // Nodes are dealt over the zones in turn; a zone's clients go to its nodes.
         let zones = self.world.site.network.zones.len().max(1);
         let there: Vec<usize> = (0..self.nodes.len())
-            .filter(|&node| node % zones == ask.zone % zones && self.is_open(node))
+            .filter(|&node| node % zones == ask.zone % zones && self.is_usable(node))
             .collect();
         let node = match there.is_empty() {
             true => ask.number as usize % self.nodes.len(),
@@ -247,50 +176,59 @@
     /// One request; the judge is told of it once it has been sent whole. A kept connection that the node closes
     /// may cross a request which the node has not read: that is sent once more, on a new connection.
     async fn exchange(&self, ask: &ClientRequest, number: u64, node: usize, until: Micros) -> Said {
-        let kills = self.kills(node);
         let said = self.exchange_with(ask, number, node, until).await;
-        said.unwrap_or_else(|| {
-            match self.kills(node) == kills {
-                true => self.world.judge().request_abandoned(number),
-                false => self.world.judge().request_excused(number),
+        said.unwrap_or_else(|Unanswered { accepted_at }| {
+            match self.processes[node].excuses(accepted_at) {
+                true => self.world.judge().request_excused(number),
+                false => self.world.judge().request_abandoned(number),
             }
             Said::failed()
         })
     }
 
-    /// As above; nothing if the connection ended, or the time, with no whole answer.
+    /// As above; an error if the connection ended, or the time, with no whole answer.
     async fn exchange_with(
         &self,
         ask: &ClientRequest,
         number: u64,
         node: usize,
         until: Micros,
-    ) -> Option<Said> {
+    ) -> Result<Said, Unanswered> {
         let id = format!("{number:016x}");
         let key = request::key(ask.key);
         let command = self.command(ask, &id, &key, until);
         if let Some(mut kept) = self.kept(node)
             && kept.write_all(&command).await.is_ok()
         {
+            let accepted_at = self.world.now();
             match self.answer(&mut kept, until).await {
-                Heard::Closed => {} // before anything of an answer
+                // Before anything of an answer: the close crossed the request, unless the request came well before.
+                Heard::Closed if self.world.now() < accepted_at + self.world.site.rules.answer_slack.us() => {
+                }
                 heard => {
                     self.world.judge().request_accepted(number, until);
-                    return self.judged(heard, number, (&id, &key), node, kept);
+                    return self
+                        .judged(heard, number, (&id, &key), node, kept)
+                        .ok_or(Unanswered { accepted_at });
                 }
             }
         }
         if !self.is_open(node) {
-            return Some(Said::failed());
+            return Ok(Said::failed());
         }
-        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Some(Said::failed()) };
+        let Ok(mut fresh) = TcpStream::connect(self.nodes[node]).await else { return Ok(Said::failed()) };
         let _ = fresh.set_nodelay(true); // slower without, no worse
         if fresh.write_all(&command).await.is_err() {
-            return Some(Said::failed());
+            return Ok(Said::failed());
         }
+        let accepted_at = self.world.now();
         self.world.judge().request_accepted(number, until);
         let heard = self.answer(&mut fresh, until).await;
-        self.judged(heard, number, (&id, &key), node, fresh)
+        if matches!(heard, Heard::Closed) && self.crowded.load(Ordering::Relaxed) {
+            self.world.judge().request_excused(number);
+            return Ok(Said::failed());
+        }
+        self.judged(heard, number, (&id, &key), node, fresh).ok_or(Unanswered { accepted_at })
     }
 
     /// An idle connection on which nothing has come.
@@ -353,6 +291,12 @@
     }
 }
 
+/// A request whose connection, or time, ended with no whole answer.
+struct Unanswered {
+    /// When the node's machine had all of it, in microseconds.
+    accepted_at: Micros,
+}
+
 /// What a node said, and of a refusal when to come again.
 struct Said {
     answer: Answer,
