soak: signals in series, crowds of idle clients, logs, and which sends came too late

Need: terminations and reloads came one at a time, no run had its descriptors used up, and a run that broke a rule left nothing to trace it by.

Change: an event draws one to four signals, reload or terminate, 0 to 30 ms or 30 ms to 2 s apart; the node is killed 3.7 s after the first termination.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,5 +1,5 @@
-//! A short run of the randomized faults on real processes: ten nodes, two seeds, no rule broken. The long one is
-//! `stonefold-soak`.
+//! A short run of the randomized faults on real processes: ten nodes, four seeds of which two have a crowd of idle
+//! clients, no rule broken. The long one is `stonefold-soak`.
 
 use std::path::Path;
 use std::time::Duration;
@@ -7,7 +7,7 @@
 use stonefold_faults::library_beside;
 use stonefold_soak::{Options, run};
 
-const SEEDS: [u64; 2] = [11, 12];
+const SEEDS: [u64; 4] = [11, 12, 13, 15];
 
 #[test]
 fn no_rule_is_broken_under_faults_that_overlap() {
@@ -21,6 +21,7 @@
             nodes: 10,
             duration: Duration::from_secs(6),
             rate: 200.0,
+            logs: None,
         };
         let report = runtime.block_on(run(options)).unwrap();
         println!("{report}");
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use stonefold_config::CheckError;
 use stonefold_model::site::{Fault, Site};
-use stonefold_model::{Cache, Judge, Listed, Listing, Micros, Network, State, Verdict};
+use stonefold_model::{Cache, Judge, LateSend, Listed, Listing, Micros, Network, State, Verdict};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::cache::CachePort;
@@ -325,6 +325,11 @@
         self.world.judge().verdict()
     }
 
+    /// The first requests that nodes sent to a server after its grace period.
+    pub fn late_sends(&self) -> Vec<LateSend> {
+        self.world.judge().late_sends().to_vec()
+    }
+
     /// Microseconds since the start.
     pub fn now(&self) -> Micros {
         self.world.now()
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -70,6 +70,19 @@
     }
 }
 
+/// A request sent to a server after the grace period that follows the node's notification. Times in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateSend {
+    /// The node that sent it.
+    pub node: usize,
+    /// The server.
+    pub server: usize,
+    /// When the node was notified that the server drains or is removed.
+    pub notified_at: Micros,
+    /// When the request arrived at the server.
+    pub sent_at: Micros,
+}
+
 /// Finds violations of the four rules of the protocol in the events that it is given.
 #[derive(Debug)]
 pub struct Judge {
@@ -80,11 +93,15 @@
     not_serving_since: HashMap<(usize, usize), Micros>,
     /// Latest run of each request that is not idempotent; the least recent ones are forgotten.
     runs: LruCache<String, Micros>,
+    /// The first requests that were sent after a grace period.
+    late_sends: Vec<LateSend>,
     verdict: Verdict,
 }
 
 /// Share of the load from which an outage of the origin is attributed to servers that are warming up.
 const MIN_WARM_UP_SHARE: f64 = 0.3;
+/// Number of late sends that are remembered.
+const MAX_LATE_SENDS: usize = 16;
 /// Number of runs that are remembered.
 const MAX_RUNS: NonZeroUsize = NonZeroUsize::new(100_000).unwrap();
 
@@ -97,6 +114,7 @@
             open: HashMap::new(),
             not_serving_since: HashMap::new(),
             runs: LruCache::new(MAX_RUNS),
+            late_sends: Vec::new(),
             verdict: Verdict::default(),
         }
     }
@@ -165,9 +183,12 @@
 
     /// A node sent a new request to a server.
     pub fn request_sent(&mut self, now: Micros, node: usize, server: usize) {
-        let since = self.not_serving_since.get(&(node, server));
-        if since.is_some_and(|&at| now > at + self.rules.drain_grace.us()) {
+        let Some(&notified_at) = self.not_serving_since.get(&(node, server)) else { return };
+        if now > notified_at + self.rules.drain_grace.us() {
             self.verdict.sent_after_grace += 1;
+            if self.late_sends.len() < MAX_LATE_SENDS {
+                self.late_sends.push(LateSend { node, server, notified_at, sent_at: now });
+            }
         }
     }
 
@@ -205,6 +226,12 @@
         self.verdict
     }
 
+    /// The first requests that were sent after a grace period.
+    #[must_use]
+    pub fn late_sends(&self) -> &[LateSend] {
+        &self.late_sends
+    }
+
     /// Number of requests that are not answered yet.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,7 +21,7 @@
 pub use cache::{Cache, Completion, Job, JobId, LoadReport, Outcome, Rejection, Work};
 pub use clients::{ClientRequest, Clients};
 pub use discovery::{Discovery, Listed, Listing, State};
-pub use judge::{Answer, Judge, Verdict};
+pub use judge::{Answer, Judge, LateSend, Verdict};
 pub use network::Network;
 pub use origin::{Fetch, FetchCompletion, Origin, Outage};
 pub use random::Random;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -7,14 +7,17 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use stonefold_config::Count;
 use stonefold_emulator::{Emulator, Load, Options as EmulatorOptions};
 use stonefold_faults::FaultPlan;
 use tempfile::TempDir;
 use tokio::sync::Mutex;
 
 use crate::admin::fetch_metrics;
+use crate::crowd::{Crowd, DESCRIPTORS};
 use crate::ports::PortAllocator;
 use crate::process::{CONFIG_FILE, NodeSetup, Process};
+use crate::schedule::has_crowd;
 use crate::site::build_site;
 use crate::violations::{ViolationCounts, add_violations};
 use crate::{Options, ProcessFault, SoakError};
@@ -24,6 +27,9 @@
 /// Time after SIGTERM at which the platform sends SIGKILL.
 pub(crate) const TERMINATION_GRACE: Duration = Duration::from_millis(3_700);
 
+/// The level of logs that are kept.
+const TRACE_LEVEL: &str = "info,stonefold_node=trace";
+
 /// A node and its current process, if it has one.
 pub(crate) struct Node {
     pub(crate) number: usize,
@@ -40,6 +46,8 @@
     process_faults: Mutex<Vec<ProcessFault>>,
     /// Violations counted by processes, read before each is made to exit.
     violations: Mutex<ViolationCounts>,
+    /// Idle clients, if the run has them.
+    _crowd: Option<Crowd>,
     /// Holds the nodes' directories; removed on drop.
     _directory: TempDir,
 }
@@ -62,7 +70,11 @@
             addresses.push(listen);
             nodes.push(Node { number, setup, process: Mutex::default() });
         }
+        let crowd = has_crowd(options.seed).then(|| Crowd::start(&addresses));
         let load = Load::new(&emulator, addresses);
+        if crowd.is_some() {
+            load.set_crowded();
+        }
         let fleet = Fleet {
             options,
             emulator,
@@ -70,6 +82,7 @@
             nodes,
             process_faults: Mutex::default(),
             violations: Mutex::default(),
+            _crowd: crowd,
             _directory: directory,
         };
         for node in &fleet.nodes {
@@ -158,11 +171,19 @@
 ) -> Result<NodeSetup, SoakError> {
     let directory = parent.join(format!("node-{number}"));
     let config = emulator.config(number, listen, Some(admin));
-    let config = config.ok_or_else(|| SoakError::Configuration(format!("no node {number}")))?;
+    let mut config = config.ok_or_else(|| SoakError::Configuration(format!("no node {number}")))?;
+    if has_crowd(options.seed) {
+        config.limits.sockets = Count::new(DESCRIPTORS);
+    }
+    if options.logs.is_some() {
+        config.log.level = TRACE_LEVEL.into();
+    }
+    let log_file =
+        options.logs.as_ref().map(|logs| logs.join(format!("seed-{}-n{number}.log", options.seed)));
     let config = toml::to_string(&config).map_err(SoakError::configuration)?;
     std::fs::create_dir(&directory).map_err(SoakError::io("create a directory"))?;
     std::fs::write(directory.join(CONFIG_FILE), config).map_err(SoakError::io("write a file"))?;
     let fault_plan = FaultPlan::new(options.seed ^ (number as u64) << 32);
     let fault_plan = fault_plan.map_err(SoakError::io("write a fault plan"))?;
-    Ok(NodeSetup { admin, directory, fault_plan })
+    Ok(NodeSetup { admin, directory, fault_plan, log_file })
 }
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -9,8 +9,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::fleet::{Fleet, Node, TERMINATION_GRACE};
-use crate::process::Process;
-use crate::schedule::{Action, Event};
+use crate::process::{Process, SignalHandle};
+use crate::schedule::{Action, Event, Order, TimedSignal};
 
 /// Time after SIGTERM for which the load balancer in front of the nodes still opens connections to a node.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(300);
@@ -35,9 +35,8 @@
     async fn act(&self, node: &Node, action: Action) {
         match action {
             Action::Stall(lasts) => stall(node, lasts).await,
-            Action::Terminate => self.terminate(node).await,
+            Action::Signals(series) => self.send_signals(node, series).await,
             Action::Kill => self.kill(node).await,
-            Action::Reload => reload(node).await,
             Action::Calls { fault, rate, lasts } => fail_calls(node, fault, rate, lasts).await,
             Action::ClockStep(milliseconds) => _ = node.setup.fault_plan.step_clock(milliseconds),
             // The emulator draws the servers that are affected; a fault that applies to none has no effect.
@@ -45,16 +44,34 @@
         }
     }
 
-    /// Restarts a node as the platform does: new connections stop a moment after SIGTERM, and SIGKILL follows only
-    /// after the grace period.
-    async fn terminate(&self, node: &Node) {
+    /// Sends a series of signals, with which a node may end.
+    async fn send_signals(&self, node: &Node, series: Vec<TimedSignal>) {
+        match series.iter().find(|signal| signal.order == Order::Terminate) {
+            Some(termination) => self.terminate(node, &series, termination.after).await,
+            None => {
+                let Some(signals) = node.process.lock().await.as_ref().map(Process::signals) else { return };
+                send_series(&signals, &series).await;
+            }
+        }
+    }
+
+    /// Restarts a node as the platform does: new connections stop a moment after SIGTERM, the first of which comes
+    /// `after` the beginning of the series, and SIGKILL follows only after the grace period.
+    async fn terminate(&self, node: &Node, series: &[TimedSignal], after: Duration) {
         let mut process = node.process.lock().await;
         let Some(mut exiting) = process.take() else { return };
         self.collect_findings(node, &mut exiting).await;
-        exiting.signals().send(Signal::TERM);
-        sleep(DEREGISTRATION_DELAY).await;
-        self.load.close_node(node.number);
-        match exiting.wait_exit(TERMINATION_GRACE - DEREGISTRATION_DELAY).await {
+        let signals = exiting.signals();
+        let exit = async {
+            sleep(after).await;
+            self.load.node_terminated(node.number);
+            sleep(DEREGISTRATION_DELAY).await;
+            self.load.close_node(node.number);
+            exiting.wait_exit(TERMINATION_GRACE - DEREGISTRATION_DELAY).await
+        };
+        // Signals that come after the exit reach nobody.
+        let (status, ()) = tokio::join!(exit, send_series(&signals, series));
+        match status {
             Some(status) if status.success() => {}
             Some(status) => self.record_crash(node, &exiting, status).await,
             None => self.kill_process(node, &mut exiting).await,
@@ -78,9 +95,15 @@
     }
 }
 
-async fn reload(node: &Node) {
-    if let Some(process) = &*node.process.lock().await {
-        process.signals().send(Signal::HUP);
+/// Sends each signal of a series at its time.
+async fn send_series(signals: &SignalHandle, series: &[TimedSignal]) {
+    let start = Instant::now();
+    for TimedSignal { after, order } in series {
+        sleep_until(start + *after).await;
+        signals.send(match order {
+            Order::Reload => Signal::HUP,
+            Order::Terminate => Signal::TERM,
+        });
     }
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,11 +1,12 @@
 //! Randomized faults on many real node processes in front of an emulated site, checked against the protocol's rules.
 //!
-//! A seed determines a [schedule] of faults that overlap in time: processes that are paused, terminated, killed or
-//! reloaded, whose system calls fail and whose wall clock jumps; servers, origin and discovery that fail. The [`Report`]
+//! A seed determines a [schedule] of faults that overlap in time: processes that are paused, killed, and terminated
+//! and reloaded by signals in series, whose system calls fail and whose wall clock jumps; servers, origin and discovery that fail. The [`Report`]
 //! of a seed combines three sources: the emulator's verdict, which sees each request from outside, the
 //! [invariant violations](violations) that the nodes count themselves, and how the processes exited.
 
 mod admin;
+mod crowd;
 mod error;
 mod fleet;
 mod injection;
--- a/crates/soak/src/log_tail.rs
+++ b/crates/soak/src/log_tail.rs
@@ -1,6 +1,9 @@
 //! Follows the log that a node writes to standard error.
 
 use std::collections::VecDeque;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -19,11 +22,13 @@
 }
 
 impl LogTail {
-    /// Reads `stderr` in a task of its own until it is closed.
-    pub(crate) fn follow(stderr: Option<ChildStderr>) -> LogTail {
+    /// Reads `stderr` in a task of its own until it is closed, and appends it to `file` if one is given.
+    pub(crate) fn follow(stderr: Option<ChildStderr>, file: Option<&Path>) -> LogTail {
         let (ready_sender, ready) = watch::channel(false);
         let lines: Arc<Mutex<VecDeque<String>>> = Arc::default();
         let retained = lines.clone();
+        // Without its file a log is retained in part.
+        let mut file = file.and_then(|path| File::options().create(true).append(true).open(path).ok());
         tokio::spawn(async move {
             let Some(stderr) = stderr else { return };
             let mut reader = BufReader::new(stderr).lines();
@@ -31,6 +36,9 @@
                 if line.contains(READY_EVENT) {
                     let _ = ready_sender.send(true); // fails only once the receiver is dropped
                 }
+                if let Some(file) = &mut file {
+                    let _ = writeln!(file, "{line}"); // the run does not depend on it
+                }
                 let mut retained = retained.lock().unwrap_or_else(PoisonError::into_inner);
                 if retained.len() == RETAINED_LINES {
                     retained.pop_front();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// Requests a second of all clients.
     #[arg(long, default_value_t = 600.0)]
     rate: f64,
+    /// Writes the nodes' logs to this directory, at level trace.
+    #[arg(long)]
+    logs: Option<PathBuf>,
     /// Goes on after a seed that broke a rule.
     #[arg(long)]
     all: bool,
@@ -53,6 +56,7 @@
             nodes: arguments.nodes,
             duration: Duration::from_secs(arguments.seconds),
             rate: arguments.rate,
+            logs: arguments.logs.clone(),
         };
         match run(options).await {
             Ok(report) => {
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -18,4 +18,6 @@
     pub duration: Duration,
     /// Requests per second over all clients.
     pub rate: f64,
+    /// Directory for the nodes' logs, written at level trace; none are kept without it.
+    pub logs: Option<PathBuf>,
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -27,6 +27,8 @@
     pub(crate) directory: PathBuf,
     /// Faults injected into the process's system calls.
     pub(crate) fault_plan: FaultPlan,
+    /// Where the logs of its processes are kept, if they are.
+    pub(crate) log_file: Option<PathBuf>,
 }
 
 /// Sends signals to a process. Refers to it by a pidfd: a later process with the same id is never signalled.
@@ -74,7 +76,7 @@
             .spawn()
             .map_err(SoakError::io("start a node"))?;
         let signals = SignalHandle::new(&child)?;
-        let log = LogTail::follow(child.stderr.take());
+        let log = LogTail::follow(child.stderr.take(), setup.log_file.as_deref());
         Ok(Process { child, signals, log })
     }
 
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use stonefold_emulator::Summary;
-use stonefold_model::Verdict;
+use stonefold_model::{LateSend, Verdict};
 
 use crate::violations::ViolationCounts;
 
@@ -37,8 +37,12 @@
     pub seed: u64,
     /// Number of faults injected.
     pub events: usize,
+    /// Whether a crowd of idle clients occupied the nodes' descriptors.
+    pub crowd: bool,
     /// Rules broken as seen by the emulator's clients, servers and origin.
     pub verdict: Verdict,
+    /// The first requests that were sent after a grace period.
+    pub late_sends: Vec<LateSend>,
     /// Outcomes of the clients' requests.
     pub summary: Summary,
     /// Invariant violations counted by the nodes, over all processes that answered before they exited.
@@ -62,9 +66,10 @@
         let verdict = if self.is_clean() { "clean" } else { "BROKEN" };
         write!(
             formatter,
-            "seed {}: {verdict}; {} faults, {} requests, {} served, {} refused, {} failed",
+            "seed {}: {verdict}; {} faults{}, {} requests, {} served, {} refused, {} failed",
             self.seed,
             self.events,
+            if self.crowd { " and a crowd" } else { "" },
             self.summary.requests,
             self.summary.served,
             self.summary.refused,
@@ -73,6 +78,13 @@
         if self.verdict.rules_broken() > 0 {
             write!(formatter, "; {:?}", self.verdict)?;
         }
+        for LateSend { node, server, notified_at, sent_at } in &self.late_sends {
+            let after = sent_at - notified_at;
+            write!(
+                formatter,
+                "; n{node} sent to server {server} at {sent_at} us, {after} us after its notification"
+            )?;
+        }
         for (name, count) in self.violations.iter().filter(|(_, count)| **count > 0) {
             write!(formatter, "; {name} {count}")?;
         }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,6 +14,14 @@
 const MEAN_INTERVAL: Duration = Duration::from_millis(120);
 /// Duration of system call faults and site faults, in milliseconds.
 const FAULT_DURATION_MS: Range<u64> = 500..4_000;
+/// Signals of a series at most.
+const LONGEST_SERIES: usize = 4;
+/// Time between two signals that are close together, in milliseconds.
+const CLOSE_GAP_MS: Range<u64> = 0..30;
+/// Time between two signals of which the second comes while the work of the first is under way, in milliseconds.
+const WIDE_GAP_MS: Range<u64> = 30..2_000;
+/// One run of so many has a crowd of idle clients.
+const RUNS_FOR_A_CROWD: u64 = 3;
 /// Fractions of the system calls that fail.
 const CALL_FAULT_RATES: [f64; 3] = [0.01, 0.05, 0.2];
 /// Steps of the wall clock, in milliseconds.
@@ -49,12 +57,11 @@
 pub enum Action {
     /// Pauses the process (SIGSTOP, then SIGCONT) for this time.
     Stall(Duration),
-    /// Sends SIGTERM, then SIGKILL after the grace period of the platform, and restarts the node.
-    Terminate,
+    /// Sends signals in a series. After a first SIGTERM follow SIGKILL, once the grace period of the platform is over,
+    /// and a restart of the node.
+    Signals(Vec<TimedSignal>),
     /// Sends SIGKILL and restarts the node.
     Kill,
-    /// Sends SIGHUP; the configuration is unchanged.
-    Reload,
     /// Makes a fraction of some system calls fail for a time.
     Calls {
         /// The calls that fail, and how.
@@ -70,6 +77,24 @@
     Site(Box<SiteFault>),
 }
 
+/// What a signal of a series orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// SIGHUP; the configuration is unchanged.
+    Reload,
+    /// SIGTERM.
+    Terminate,
+}
+
+/// A signal of a series.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TimedSignal {
+    /// Time since the beginning of the series.
+    pub after: Duration,
+    /// The signal.
+    pub order: Order,
+}
+
 /// A fault at a point in time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Event {
@@ -102,9 +127,8 @@
     let lasts = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
     match rng.u32(0..100) {
         0..30 => Action::Stall(LONGEST_STALL.mul_f64(rng.f64())),
-        30..38 => Action::Terminate,
-        38..43 => Action::Kill,
-        43..50 => Action::Reload,
+        30..45 => Action::Signals(draw_signals(rng)),
+        45..50 => Action::Kill,
         50..70 => {
             let fault = CALL_FAULTS[rng.usize(0..CALL_FAULTS.len())];
             let rate = CALL_FAULT_RATES[rng.usize(0..CALL_FAULT_RATES.len())];
@@ -115,6 +139,24 @@
     }
 }
 
+/// Draws a series of signals: reloads and terminations close together, or while one is under way.
+fn draw_signals(rng: &mut Rng) -> Vec<TimedSignal> {
+    let mut after = Duration::ZERO;
+    let mut signals = Vec::new();
+    for _ in 0..rng.usize(1..=LONGEST_SERIES) {
+        let order = if rng.bool() { Order::Reload } else { Order::Terminate };
+        signals.push(TimedSignal { after, order });
+        let gap = if rng.bool() { CLOSE_GAP_MS } else { WIDE_GAP_MS };
+        after += Duration::from_millis(rng.u64(gap));
+    }
+    signals
+}
+
+/// Whether a run has a crowd of idle clients at the nodes' limit of descriptors.
+pub fn has_crowd(seed: u64) -> bool {
+    seed.is_multiple_of(RUNS_FOR_A_CROWD)
+}
+
 fn draw_site_fault(rng: &mut Rng, lasts: Duration) -> SiteFault {
     let kind = SITE_FAULTS[rng.usize(0..SITE_FAULTS.len())];
     let part = kind.needs_servers().then(|| Fraction::new(0.1 + 0.2 * rng.f64()));
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stonefold_soak::schedule::{Action, LONGEST_STALL, schedule};
+use stonefold_soak::schedule::{Action, LONGEST_STALL, Order, TimedSignal, has_crowd, schedule};
 
 const UNTIL: Duration = Duration::from_secs(60);
 
@@ -26,3 +26,36 @@
     let calls: Vec<_> = calls.collect();
     assert!(calls.windows(2).any(|pair| pair[1].0 < pair[0].1), "none overlap");
 }
+
+/// Guards against signals that come one at a time: shutdown and reload have to meet each other, and themselves.
+#[test]
+fn signals_come_in_series_close_together_and_while_one_is_under_way() {
+    let events = schedule(7, 12, UNTIL);
+    let pairs: Vec<[TimedSignal; 2]> = events
+        .iter()
+        .filter_map(|event| match &event.action {
+            Action::Signals(series) => Some(series),
+            _ => None,
+        })
+        .flat_map(|series| series.windows(2).map(|pair| [pair[0], pair[1]]))
+        .collect();
+    let close = Duration::from_millis(30);
+    for orders in [
+        [Order::Reload, Order::Terminate],
+        [Order::Terminate, Order::Reload],
+        [Order::Terminate, Order::Terminate],
+        [Order::Reload, Order::Reload],
+    ] {
+        let of_orders = pairs.iter().filter(|pair| pair.map(|signal| signal.order) == orders);
+        let gaps: Vec<Duration> = of_orders.map(|[first, second]| second.after - first.after).collect();
+        let (near, far): (Vec<Duration>, Vec<Duration>) = gaps.into_iter().partition(|gap| *gap < close);
+        assert!(!near.is_empty() && !far.is_empty(), "{orders:?}: {near:?} {far:?}");
+    }
+}
+
+/// Guards against runs that all have a crowd, or none.
+#[test]
+fn some_runs_have_a_crowd_and_some_have_none() {
+    let crowds = (0..50).filter(|seed| has_crowd(*seed)).count();
+    assert!((10..40).contains(&crowds), "{crowds} of 50");
+}
