store, cli: cut messages at each byte, and small buffers for writes under way

Need: the faults of the long value's header and of the broken write's premise were to be looked for elsewhere.

Change: a test passes the store's handshake and messages through a way on which the bytes of their beginnings come alone, up to the longest list. Two more tests that meant a write to be under way use the fixture with a small receive buffer (client_ends.rs took 3 MB for more than the kernels hold; time_left.rs had a buffer of its own, 8 KiB, and now has the shared one, 16 KiB).

--- a/crates/cli/tests/client_ends.rs
+++ b/crates/cli/tests/client_ends.rs
@@ -127,10 +127,10 @@
 
 #[test]
 fn who_does_not_take_the_long_value_that_is_written_to_it() {
-    const LONG: usize = 3_000_000; // more than the kernels of both sides take
+    const LONG: usize = UNTAKEN_BYTES;
     for how in ENDS {
         let scene = Scene::new(&patient());
-        let mut client = scene.node.client();
+        let mut client = scene.node.client_that_takes_little();
         client.get("k", "c=read,d=60000");
         client.send(&["CACHE.SET", "l", "behind-it", "c=put,d=60000,k=1", "v"]);
         let mut call = scene.cache.call();
--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -16,10 +16,10 @@
 /// Long enough for any machine; reached only by a test that fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A write of so many bytes is still under way while the peer reads none of it, where the listener is one
-/// [that takes little](listener_that_takes_little).
+/// A write of so many bytes is still under way while the peer reads none of it, where the peer is one that takes little:
+/// [a server](listener_that_takes_little) or [a client](Node::client_that_takes_little).
 pub const UNTAKEN_BYTES: usize = 4_000_000;
-/// The receive buffer of a server that takes little, in bytes.
+/// The receive buffer of a peer that takes little, in bytes.
 const SMALL_RECEIVE_BUFFER: usize = 16 << 10;
 
 /// A listener whose connections take little of what the peer writes before it is read. With the kernel's own buffers, a
@@ -423,6 +423,16 @@
         Client { reader: BufReader::new(stream) }
     }
 
+    /// A client whose machine takes little of an answer before the client reads it.
+    pub fn client_that_takes_little(&self) -> Client {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+        socket.connect(&self.addr.into()).unwrap();
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
     /// What the node answers to an operator's bytes.
     pub fn call(&self, bytes: impl AsRef<[u8]>) -> String {
         let mut stream = self.caller();
--- a/crates/cli/tests/time_left.rs
+++ b/crates/cli/tests/time_left.rs
@@ -7,20 +7,17 @@
 mod fakes;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use fakes::*;
-use socket2::SockRef;
 
 const CACHE: &str = "s-5be2a07c";
 /// How long a command waits in these tests before the node reads it.
 const UNREAD: Duration = Duration::from_millis(400);
 /// What the kernel's and the test's own steps may take between two readings of the clock.
 const GRAIN: Duration = Duration::from_millis(20);
-/// A receive buffer by which the kernels hold little of a long message.
-const RECEIVE_BUFFER: usize = 8 << 10;
 /// How many requests one connection may have open at once.
 const OPEN_AT_ONCE: usize = 64;
 
@@ -161,9 +158,8 @@
 
 #[test]
 fn a_request_whose_last_byte_is_long_in_going_out_is_counted_by_what_it_told_too_much() {
-    const LENGTH: usize = 4_000_000; // more than the kernels take where the receiver's buffer is small
-    let (cache, origin) = (Fake::cache(), TcpListener::bind("127.0.0.1:0").unwrap());
-    SockRef::from(&origin).set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    const LENGTH: usize = UNTAKEN_BYTES;
+    let (cache, origin) = (Fake::cache(), listener_that_takes_little());
     let node = start(SETTINGS, cache.addr, origin.local_addr().unwrap());
     let mut client = node.client();
     client.set("k", "c=put,d=60000,k=1", &"x".repeat(LENGTH));
--- a/crates/store/tests/wire.rs
+++ b/crates/store/tests/wire.rs
@@ -9,12 +9,14 @@
 use stonefold_store::message::{Request, RequestError, Response};
 use stonefold_store::raft::Entry;
 use stonefold_store::replica::{Options, Replica, Transport};
+use stonefold_store::state::limits::MAX_LIST_BYTES;
 use stonefold_store::state::{AdminOverride, Change, Proposal, Reply};
 use stonefold_store::wire::{
     ClientHandshake, ConnectionLimiter, HELLO_BYTES, HandshakeError, Key, Keys, MAX_SUBSCRIBERS, Opener,
     PROOF_BYTES, Sealer, SealingError, ServerHandshake, Tcp, WELCOME_BYTES, serve,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -194,7 +196,7 @@
 async fn large_entries_reach_a_new_member_in_several_messages() {
     let (served, late) = (served().await, listening(2).await);
     for version in 1..=8 {
-        let text = "x".repeat(stonefold_store::state::limits::MAX_LIST_BYTES);
+        let text = "x".repeat(MAX_LIST_BYTES);
         let change = Change::List { version, text, learned_by: 1, started: Vec::new() };
         let proposal = Proposal { client: version, sequence: 1, change };
         served.replica.propose(proposal, Instant::now() + PATIENCE).await.unwrap();
@@ -289,3 +291,69 @@
     std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o644)).unwrap();
     assert!(error().contains("644"), "{}", error());
 }
+
+/// Passes the bytes of one direction on, the first of all and the first of each read one by one.
+async fn pass_on_in_pieces(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    /// A handshake, an introduction and the beginning of a message, in bytes.
+    const BEGINNING: usize = 512;
+    /// A message's length and more, in bytes.
+    const SINGLE_BYTES: usize = 8;
+    let mut buffer = vec![0; 64 << 10];
+    let mut passed = 0;
+    while let Ok(read) = from.read(&mut buffer).await
+        && read > 0
+    {
+        let single = SINGLE_BYTES.max(BEGINNING.saturating_sub(passed));
+        let (first, rest) = buffer[..read].split_at(read.min(single));
+        passed += read;
+        for byte in first.chunks(1) {
+            if to.write_all(byte).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_micros(100)).await;
+        }
+        if to.write_all(rest).await.is_err() {
+            return;
+        }
+    }
+    let _ = to.shutdown().await; // the receiver may have closed
+}
+
+/// A way to `addr` on which bytes arrive in pieces in both directions.
+async fn way_in_pieces(addr: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let way = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(&addr).await.unwrap();
+            near.set_nodelay(true).unwrap();
+            far.set_nodelay(true).unwrap();
+            let ((near_reads, near_writes), (far_reads, far_writes)) = (near.into_split(), far.into_split());
+            tokio::spawn(pass_on_in_pieces(near_reads, far_writes));
+            tokio::spawn(pass_on_in_pieces(far_reads, near_writes));
+        }
+    });
+    way
+}
+
+/// Guards against a cut that changes what a handshake or a message of the store means, for a long list too.
+#[tokio::test]
+async fn messages_mean_the_same_though_each_byte_of_their_beginning_comes_alone() {
+    let served = served().await;
+    let way = way_in_pieces(served.addr.clone()).await;
+    let client = Tcp::client(keys(1), 9);
+    let status = client.request(1, &way, Request::Status, PATIENCE).await;
+    assert!(matches!(status, Ok(Response::Status(_))), "{status:?}");
+    for (version, length) in [(1, 1), (2, MAX_LIST_BYTES - 1), (3, MAX_LIST_BYTES)] {
+        let change = Change::List { version, text: "x".repeat(length), learned_by: 1, started: Vec::new() };
+        let proposal = Request::Propose(Proposal { client: 6, sequence: version, change });
+        let answer = client.request(1, &way, proposal, PATIENCE).await;
+        assert!(
+            matches!(answer, Ok(Response::Proposed(Ok(Reply::Applied(_))))),
+            "{length} bytes: {answer:?}"
+        );
+        let known = served.replica.shared().read().state.list().map(|list| (list.version, list.text.len()));
+        assert_eq!(known, Some((version, length)));
+    }
+    served.stop.cancel();
+}
