emulator: give a killed server's address to nobody else; soak: several seeds at a time

Callers are not concerned.

Cause: the kernel gave a killed server's port to a listener of another server. A node that had not been notified of the kill, as it may, sent to the old address, and the judge blamed the node whose listener was there now. Evidence (--logs, late sends): n2 blamed for 127.0.0.1:40483 has no attempt there by then; n9 of another site on the machine has, to its c-11, 31 ms before it was told of the removal.

Change: a socket stays bound to each address while the site lives.

Test, red before: the_address_of_a_killed_server_is_given_to_nobody_else.

--- a/crates/emulator/src/port.rs
+++ b/crates/emulator/src/port.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
@@ -21,6 +21,9 @@
 /// One listener for each node.
 pub(crate) struct Listeners {
     addrs: Vec<SocketAddr>,
+    /// Sockets that are bound to the addresses and don't listen: so a closed address refuses connections, and is never
+    /// given to another server, which would get what is sent to this one.
+    _reserved: Vec<Socket>,
     /// Open, and not yet served.
     fresh: Mutex<Vec<TcpListener>>,
     /// Ends all that was accepted so far, and the listening.
@@ -30,11 +33,14 @@
 impl Listeners {
     pub async fn open(ip: IpAddr, nodes: usize) -> Result<Listeners, EmulatorError> {
         let mut fresh = Vec::with_capacity(nodes);
+        let mut reserved = Vec::with_capacity(nodes);
         for _ in 0..nodes {
-            fresh.push(listen(SocketAddr::new(ip, 0)).await?);
+            let (socket, at) = reserve(ip)?;
+            reserved.push(socket);
+            fresh.push(listen(at).await?);
         }
         let addrs = fresh.iter().map(addr_of).collect();
-        Ok(Listeners { addrs, fresh: Mutex::new(fresh), run: Mutex::default() })
+        Ok(Listeners { addrs, _reserved: reserved, fresh: Mutex::new(fresh), run: Mutex::default() })
     }
 
     pub fn addr(&self, node: usize) -> Option<SocketAddr> {
@@ -111,6 +117,20 @@
     drop(stream);
 }
 
+/// Binds a free port of an address without listening. Others that set `SO_REUSEADDR` may listen there all the same, as
+/// listeners do; the kernel gives the port to nobody of itself.
+fn reserve(ip: IpAddr) -> Result<(Socket, SocketAddr), EmulatorError> {
+    let any = SocketAddr::new(ip, 0);
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(any), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&any.into())?;
+        let at = socket.local_addr()?.as_socket().unwrap_or(any);
+        Ok((socket, at))
+    };
+    bind().map_err(|source| EmulatorError::Listen { at: any, source })
+}
+
 /// Listens at an address.
 pub(crate) async fn listen(at: SocketAddr) -> Result<TcpListener, EmulatorError> {
     TcpListener::bind(at).await.map_err(|source| EmulatorError::Listen { at, source })
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -222,6 +222,17 @@
     assert!(Peer::at(addr(&emulator, 0, "c-1")).await.get("k", "i").await.is_ok());
 }
 
+/// Guards against what is sent to a killed server reaching another one that has got its address.
+#[tokio::test]
+async fn the_address_of_a_killed_server_is_given_to_nobody_else() {
+    let emulator = emulator(&[]).await;
+    let at = addr(&emulator, 0, "c-0");
+    begin(&emulator, r#"{"kind":"kill","server":"c-0","for":"1h"}"#);
+    until("it is down", async || TcpStream::connect(at).await.is_err()).await;
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    assert!(other.bind(&at.into()).is_err(), "another may have {at}");
+}
+
 #[tokio::test]
 async fn the_end_of_one_fault_is_not_the_end_of_another_at_the_same_server() {
     let emulator = emulator(&[]).await;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -60,7 +60,7 @@
     pub(crate) async fn start(options: Options) -> Result<Fleet, SoakError> {
         let emulator = Emulator::start(build_site(&options)?, EmulatorOptions::default()).await?;
         let directory = tempfile::tempdir().map_err(SoakError::io("create a directory"))?;
-        let mut ports = PortAllocator::new();
+        let ports = PortAllocator::shared();
         let mut addresses = Vec::new();
         let mut nodes = Vec::new();
         for number in 0..options.nodes as usize {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 use clap::Parser;
 use stonefold_soak::{Options, run};
+use tokio::task::JoinSet;
 
 /// Exit code if a seed could not be run; a seed that broke a rule gives the ordinary failure code.
 const EXIT_NOT_RUN: u8 = 2;
@@ -36,6 +37,9 @@
     /// Requests a second of all clients.
     #[arg(long, default_value_t = 600.0)]
     rate: f64,
+    /// How many seeds are played at a time.
+    #[arg(long, default_value_t = 1)]
+    jobs: usize,
     /// Writes the nodes' logs to this directory, at level trace.
     #[arg(long)]
     logs: Option<PathBuf>,
@@ -44,32 +48,46 @@
     all: bool,
 }
 
+impl Arguments {
+    /// The parameters of one seed's run.
+    fn options(&self, seed: u64) -> Options {
+        Options {
+            program: self.program.clone(),
+            library: self.library.clone(),
+            seed,
+            nodes: self.nodes,
+            duration: Duration::from_secs(self.seconds),
+            rate: self.rate,
+            logs: self.logs.clone(),
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    let mut seeds = arguments.seed..arguments.seed + arguments.seeds;
+    let mut runs = JoinSet::new();
     let mut failed_seeds = 0;
-    for seed in arguments.seed..arguments.seed + arguments.seeds {
-        let options = Options {
-            program: arguments.program.clone(),
-            library: arguments.library.clone(),
-            seed,
-            nodes: arguments.nodes,
-            duration: Duration::from_secs(arguments.seconds),
-            rate: arguments.rate,
-            logs: arguments.logs.clone(),
-        };
-        match run(options).await {
-            Ok(report) => {
+    loop {
+        let goes_on = arguments.all || failed_seeds == 0;
+        while goes_on
+            && runs.len() < arguments.jobs
+            && let Some(seed) = seeds.next()
+        {
+            runs.spawn(run(arguments.options(seed)));
+        }
+        // A panic of a run ends the program too.
+        match runs.join_next().await.map(|joined| joined.expect("a run has panicked")) {
+            Some(Ok(report)) => {
                 println!("{report}");
                 failed_seeds += u64::from(!report.is_clean());
             }
-            Err(error) => {
-                eprintln!("stonefold-soak: seed {seed}: {error}");
+            Some(Err(error)) => {
+                eprintln!("stonefold-soak: {error}");
                 return ExitCode::from(EXIT_NOT_RUN);
             }
-        }
-        if failed_seeds > 0 && !arguments.all {
-            break;
+            None => break,
         }
     }
     if failed_seeds > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
