--- a/crates/cli/tests/pieces.rs
+++ b/crates/cli/tests/pieces.rs
@@ -104,16 +104,21 @@
         let chosen = |cut: &Cut| length <= BUFFERED + 1 || cut.at.abs_diff(header) <= 1;
         for cut in all.into_iter().filter(chosen) {
             client.get("k", "c=read,d=15000");
-            let call = site.cache.call();
-            let text = text.clone();
-            let writing = thread::spawn(move || write_cut(call.stream(), text.as_bytes(), cut));
-            let answer = client.answer();
-            writing.join().unwrap();
-            assert!(answer.as_ref() == Some(&value), "{length} bytes, {cut:?}: {}", start_of(answer));
+            assert_served(&mut client, site.cache.call(), &text, cut, &value);
         }
     }
 }
 
+/// Asserts that a client gets a value with which a server answers in two pieces.
+fn assert_served(client: &mut Client, call: Call, text: &str, cut: Cut, value: &str) {
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| write_cut(call.stream(), text.as_bytes(), cut));
+        client.answer()
+    });
+    let length = value.len();
+    assert!(answer.as_deref() == Some(value), "{length} bytes, {cut:?}: {}", start_of(answer));
+}
+
 /// Guards against a cut that changes the meaning of a miss, a rejection or an error.
 #[test]
 fn a_caches_other_replies_mean_the_same_however_they_are_cut() {
@@ -167,12 +172,7 @@
             for cut in cuts(text.as_bytes(), header, tail) {
                 client.get("k", "c=read,d=15000");
                 site.cache.call().miss();
-                let call = site.origin.call();
-                let text = text.clone();
-                let writing = thread::spawn(move || write_cut(call.stream(), text.as_bytes(), cut));
-                let answer = client.answer();
-                writing.join().unwrap();
-                assert!(answer.as_ref() == Some(&value), "{length} bytes, {cut:?}: {}", start_of(answer));
+                assert_served(&mut client, site.origin.call(), &text, cut, &value);
             }
         }
     }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -194,21 +194,33 @@
                     return replies::time_out(socket).await;
                 }
                 () = IdleSlot::evicted(&mut slot) => {
-                    debug!(event = "client_evicted", unread = socket.has_unread_bytes(),
-                        has_sent_request = self.has_sent_request, "a resting connection gives way to another");
                     slot = None;
-                    // What has arrived is served: a close would discard it.
-                    if !(turn.reads && turn.has_buffer && socket.has_unread_bytes()) {
-                        socket.shutdown_write()?;
+                    if self.gives_way(socket, &turn).await? {
                         return Ok(Ending::Evicted);
                     }
-                    yield_now().await; // lets the runtime notice the bytes
                 }
             }
             self.start_commands();
         }
     }
 
+    /// Closes an evicted connection, unless something has arrived that the close would discard. Returns whether it has.
+    async fn gives_way(&self, socket: &Socket, turn: &Turn) -> io::Result<bool> {
+        let unread = socket.has_unread_bytes();
+        debug!(
+            event = "client_evicted",
+            unread,
+            has_sent_request = self.has_sent_request,
+            "a resting connection gives way to another"
+        );
+        if unread && turn.reads && turn.has_buffer {
+            yield_now().await; // lets the runtime notice the bytes
+            return Ok(false);
+        }
+        socket.shutdown_write()?;
+        Ok(true)
+    }
+
     /// Why the connection is to be closed now, if it is.
     fn ending(&self, shutting_down: bool) -> Option<Ending> {
         if !self.pending.is_empty() {
