cli: answer the call that waits at discovery, so that the quota's window binds in clocks.rs

Seen on reading again: with the check of ages taken out, a start planted an hour early passed the check of calls in each window.

Cause: tell() dropped discovery's waiting call, so that the change was told some 3 s later, when the node called again. Times counted from before that, and the window's limit was far above what any node sends.

Change: tell() answers the call that waits and returns the next one. Same checks, which bind now.

--- a/crates/cli/tests/clocks.rs
+++ b/crates/cli/tests/clocks.rs
@@ -39,13 +39,13 @@
 const TRACED: &str = "exec \"$0\" node --log info,stonefold_node::driver=trace";
 
 /// A call that a cache got.
-struct Call {
+struct Arrival {
     id: String,
     at: Instant,
 }
 
 /// A cache that answers whatever it is asked, and tells of each call.
-fn answering(cache: Fake) -> Receiver<Call> {
+fn answering(cache: Fake) -> Receiver<Arrival> {
     let (to, calls) = channel();
     thread::spawn(move || {
         loop {
@@ -53,7 +53,7 @@
                 thread::sleep(Duration::from_micros(100));
                 continue;
             };
-            let arrived = Call { id: call.words[2].clone(), at: Instant::now() };
+            let arrived = Arrival { id: call.words[2].clone(), at: Instant::now() };
             // Told before the answer, so that whoever has the answer knows of the call.
             if to.send(arrived).is_err() {
                 return;
@@ -69,11 +69,11 @@
     /// When each read was sent.
     sent: Vec<Instant>,
     /// The calls that the started server got, in their order.
-    calls: Vec<Call>,
+    calls: Vec<Arrival>,
 }
 
 /// Reads of different keys, one after the other.
-fn read_all(node: &Node, started: &Receiver<Call>) -> Round {
+fn read_all(node: &Node, started: &Receiver<Arrival>) -> Round {
     started.try_iter().for_each(drop);
     let mut client = node.client();
     let mut sent = Vec::new();
@@ -98,17 +98,16 @@
     latest: Instant,
 }
 
-/// Answers discovery's callers with this change of the list until a node has read it. A call that it has given up in the
-/// meantime is answered too, to nobody.
-fn tell(discovery: &Fake, version: u64, servers: &str) {
+/// Answers discovery's caller with this change of the list until the node has read it; returns its next call, which waits
+/// for the next change. A call that it has given up in the meantime is answered too, to nobody.
+fn tell(discovery: &Fake, waiting: Call, version: u64, servers: &str) -> Call {
     let list = format!(r#"{{"version":{version},"full":false,"servers":[{servers}]}}"#);
-    loop {
-        let call = discovery.call();
-        if call.words[1].contains(&format!("after={version}&")) {
-            return;
-        }
+    let mut call = waiting;
+    while !call.words[1].contains(&format!("after={version}&")) {
         call.http_or_closed("200 OK", &list);
+        call = discovery.call();
     }
+    call
 }
 
 /// The age that the node logged for a server in slow start, as it sent it a read.
@@ -198,11 +197,11 @@
     let events = node.events("attempt_to_warming_server");
     let (_warm, started) = (answering(warm), answering(started));
     // What it missed before it ran; and its own load tells a node what servers stand.
-    tell(&discovery, 42, "");
+    let watch = tell(&discovery, discovery.call(), 42, "");
     assert_eq!(read_all(&node, &started).calls.len(), 0);
     // Then a start while it runs.
     let earliest = Instant::now();
-    tell(&discovery, 43, &started_now(STARTED, started_at));
+    let watch = tell(&discovery, watch, 43, &started_now(STARTED, started_at));
     read_one(&node); // the driver takes this read after the list
     let told = Between { earliest, latest: Instant::now() };
     let round = read_all(&node, &started);
@@ -210,7 +209,7 @@
     assert_spared(&what, &round, told, told.earliest, COLD, OVERLOAD_WINDOW);
     // Alone it gets all reads, as no server does that is taken for cold.
     thread::sleep((told.latest + COLD).saturating_duration_since(Instant::now()));
-    tell(&discovery, 44, &entry(WARM, warm_at, "m", "DRAINING"));
+    let _watch = tell(&discovery, watch, 44, &entry(WARM, warm_at, "m", "DRAINING"));
     read_one(&node);
     events.try_iter().for_each(drop);
     let round = read_all(&node, &started);
@@ -257,11 +256,11 @@
     let events = node.events("attempt_to_warming_server");
     let next_at = next.addr;
     let (_warm, started, _next) = (answering(warm), answering(started), answering(next));
-    tell(&discovery, 42, "");
+    let watch = tell(&discovery, discovery.call(), 42, "");
     let taken_for_warm = read_all(&node, &started);
     assert!(taken_for_warm.calls.len() * 3 > READS, "{} of {READS}", taken_for_warm.calls.len());
     let earliest = Instant::now();
-    tell(&discovery, 43, &started_now("s-next", next_at));
+    let _watch = tell(&discovery, watch, 43, &started_now("s-next", next_at));
     read_one(&node); // the driver takes this read after the list
     let told = Between { earliest, latest: Instant::now() };
     let spared = read_all(&node, &started);
