Review case 2: a configuration that misses a class's key is taken, writes run twice

A reload looks for missing keys in four objects and not in the classes. A class without DedupScope counts as one whose repeats every server drops.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,8 @@
 mod world;
 #[path = "../1/case.rs"]
 mod case1;
+#[path = "../2/case.rs"]
+mod case2;
 
 use std::env;
 use std::path::PathBuf;
@@ -24,6 +26,7 @@
     case.record.say(format!("case {number}, {} the disruption", if trouble { "with" } else { "without" }));
     let played = match number.as_str() {
         "1" => case1::run(&case),
+        "2" => case2::run(&case),
         _ => Err(std::io::Error::other("no such case")),
     };
     let verdict = played.unwrap_or_else(|error| {
