--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,4 +1,4 @@
-//! A configuration file that misses a key is not turned down, and keyed writes run twice from then on.
+//! A configuration file that misses a key of a class is not turned down, and keyed writes run twice from then on.
 
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
