--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,73 +1,64 @@
-//! A configuration file that misses a key of a class is not turned down, and keyed writes run twice from then on.
+//! Cache servers that are some milliseconds away send a second copy of some answers.
 
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::world::*;
 
 /// Cache servers, two in each zone.
-const SERVERS: usize = 6;
-/// One write in so many loses its connection after it has run.
-const RESET_ONE_IN: u64 = 20;
-const CLIENTS: u64 = 10;
-const WRITES_PER_SECOND: u64 = 50;
-const PLAYED: Duration = Duration::from_secs(20);
-/// Clients start on new settings 1.2 s after SIGHUP at the earliest.
-const AFTER_RELOAD: Duration = Duration::from_millis(1_500);
-/// The window in which the servers of a zone drop repeats, and the deadline of the class.
-const WINDOW: Duration = Duration::from_millis(3_000);
-const DEADLINE_MS: u64 = 2_000;
+const SERVERS: u64 = 6;
+/// The time of a message on its way between the node and a cache server of its own zone, and of another one.
+const ONE_WAY_SAME: Duration = Duration::from_micros(200);
+const ONE_WAY_CROSS: Duration = Duration::from_millis(10);
+/// The work of a request.
+const WORK: Duration = Duration::from_millis(20);
+/// One answer in so many is followed by a second copy of it, if nothing else waits on the connection by then.
+const COPY_ONE_IN: u64 = 50;
+/// A copy comes 2 to 6 ms after the answer.
+const COPY_AFTER_MS: (u64, u64) = (2, 7);
+const CLIENTS: u64 = 30;
+const READS_PER_SECOND: u64 = 250;
+const KEYS: u64 = 500;
+const VALUE_BYTES: usize = 200;
+const PLAYED: Duration = Duration::from_secs(30);
 
-fn zone_of(server: usize) -> &'static str {
-    ZONES[server / 2]
+#[derive(Default)]
+struct Counts {
+    copies: AtomicU64,
+    right: AtomicU64,
+    refused_or_failed: AtomicU64,
+    /// Requests that were answered with a value that was not made for them, with the id of the one it was made for.
+    wrong: Mutex<Vec<(String, String)>>,
 }
 
-/// One run of a write: by the server, at the time.
-type Runs = Arc<Mutex<HashMap<String, Vec<(usize, Instant)>>>>;
-
 pub fn run(case: &Case) -> io::Result<Verdict> {
     let record = &case.record;
     let temp = TempFolder::create()?;
-    let runs: Runs = Arc::default();
+    let counts = Arc::new(Counts::default());
     let mut listed = Vec::new();
-    let resets = Arc::new(AtomicU64::new(0));
     for number in 0..SERVERS {
-        let (runs, record, resets) = (runs.clone(), record.clone(), resets.clone());
+        let zone = ZONES[number as usize / 2];
+        let one_way = if zone == ZONES[0] { ONE_WAY_SAME } else { ONE_WAY_CROSS };
+        let (counts, record, trouble) = (counts.clone(), record.clone(), case.trouble);
         let addr = serve(move |stream, connection| {
-            let random = Random::new((number * 1_000 + connection + 1) as u64);
-            cache_server(number, stream, random, &runs, &resets, &record)
+            let random = Random::new(number * 1_000 + connection as u64 + 1);
+            let name = format!("s-{number}/{connection}");
+            cache_server(&name, stream, one_way, random, trouble, &counts, &record)
         })?;
-        listed.push(Listed { zone: zone_of(number), ..Listed::new(&format!("s-{number}"), addr, "box") });
+        listed.push(Listed { zone, ..Listed::new(&format!("s-{number}"), addr, "box") });
     }
     let discovery = Discovery::start(listed, record)?;
-    let complete = Setup {
-        mode: "through",
-        write_scope: r#""DedupScope":"zone","#,
-        write_ms: DEADLINE_MS,
-        window_ms: WINDOW.as_millis() as u64,
-        ..Setup::default()
-    };
-    let mut node = Node::start(case, &temp, &complete, &discovery)?;
-    thread::sleep(Duration::from_millis(1_000));
-    if case.trouble {
-        record.say("the configuration is replaced by one whose class of writes misses the key DedupScope; SIGHUP");
-        node.reload(&Setup { write_scope: "", ..complete }, &discovery)?;
-    } else {
-        record.say("the configuration is replaced by the same one; SIGHUP");
-        node.reload(&complete, &discovery)?;
-    }
-    thread::sleep(AFTER_RELOAD);
-    let answers: Arc<[AtomicU64; 3]> = Arc::default();
+    let mut node = Node::start(case, &temp, &Setup::default(), &discovery)?;
     let until = Instant::now() + PLAYED;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (addr, answers, record) = (node.addr, answers.clone(), record.clone());
-            thread::spawn(move || client(number, addr, until, &answers, &record))
+            let (addr, counts, record) = (node.addr, counts.clone(), record.clone());
+            thread::spawn(move || client(number, addr, until, &counts, &record))
         })
         .collect();
     for client in clients {
@@ -76,93 +67,111 @@
     if let Some(status) = node.ended() {
         return Err(io::Error::other(format!("the node ended: {status}; {}", node.log_tail())));
     }
-    let answers: Vec<u64> = answers.iter().map(|count| count.load(Ordering::Relaxed)).collect();
-    record.say(format!("writes served {}, refused {}, failed {}", answers[0], answers[1], answers[2]));
-    let runs = runs.lock().unwrap();
-    let twice: Vec<_> = runs.iter().filter(|(_, runs)| runs.len() > 1).collect();
+    let right = counts.right.load(Ordering::Relaxed);
+    let wrong = counts.wrong.lock().unwrap();
     record.say(format!(
-        "writes that ran {}; connections reset after the run {}; writes that ran more than once {}",
-        runs.len(),
-        resets.load(Ordering::Relaxed),
-        twice.len()
+        "second copies sent {}; reads answered with their own value {right}, with another request's value {}, with an error {}",
+        counts.copies.load(Ordering::Relaxed),
+        wrong.len(),
+        counts.refused_or_failed.load(Ordering::Relaxed)
     ));
-    for (key, runs) in twice.iter().take(10) {
-        let servers: Vec<String> =
-            runs.iter().map(|(server, _)| format!("s-{server} (zone {})", zone_of(*server))).collect();
-        let apart = runs[1].1 - runs[0].1;
-        record.say(format!("  k={key} ran at {}, {} ms apart", servers.join(" and "), apart.as_millis()));
+    for (asked, got) in wrong.iter().take(5) {
+        record.say(format!("  request {asked} was answered with the value that was made for {got}"));
     }
-    if answers[0] < 100 {
-        return Err(io::Error::other("too few writes were served to judge"));
+    if right < 1_000 {
+        return Err(io::Error::other("too few reads were served to judge"));
     }
-    Ok(if twice.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if wrong.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// Runs writes. The servers of a zone know which keys the others have run, and drop a repeat within the window.
+/// What is on its way from a cache server to the node: when it arrives, and its bytes.
+type OnItsWay = mpsc::Sender<(Instant, Vec<u8>)>;
+
+/// Holds every key, and answers in the order of the commands. The network between it and the node takes `one_way` in both
+/// directions, which this plays.
 fn cache_server(
-    number: usize,
+    name: &str,
     stream: TcpStream,
+    one_way: Duration,
     mut random: Random,
-    runs: &Runs,
-    resets: &AtomicU64,
+    trouble: bool,
+    counts: &Arc<Counts>,
     record: &Record,
 ) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
-    while let Some(command) = read_command(&mut reader)? {
-        thread::sleep(Duration::from_millis(20));
-        let (id, facts) = (command.word(2), command.word(3));
-        let key = facts.split(',').find_map(|fact| fact.strip_prefix("k=")).unwrap_or("").to_owned();
-        let is_repeat = {
-            let mut runs = runs.lock().unwrap();
-            let known = runs.entry(key.clone()).or_default();
-            let is_repeat = known.iter().any(|(server, at)| zone_of(*server) == zone_of(number) && at.elapsed() < WINDOW);
-            if !is_repeat {
-                known.push((number, Instant::now()));
+    let (to_node, on_its_way): (OnItsWay, _) = mpsc::channel();
+    spawn(move || {
+        for (arrives, bytes) in on_its_way {
+            thread::sleep(arrives.saturating_duration_since(Instant::now()));
+            if stream.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    });
+    // The number of commands that the node has sent on this connection, those on their way included.
+    let sent = Arc::new(AtomicU64::new(0));
+    let (to_server, commands) = mpsc::channel::<(Instant, u64, CacheCommand)>();
+    let (name, sent_by_node, counts, record) = (name.to_owned(), sent.clone(), counts.clone(), record.clone());
+    spawn(move || {
+        for (arrives, number, command) in commands {
+            thread::sleep((arrives + WORK).saturating_duration_since(Instant::now()));
+            let id = command.word(2);
+            let answer = hit(&value_for(&command.word(1), &id, VALUE_BYTES));
+            record.line(format!("{name} answers {id}"));
+            let _ = to_node.send((Instant::now() + one_way, answer.clone()));
+            if !trouble || random.below(COPY_ONE_IN) != 0 {
+                continue;
+            }
+            let copy_after = COPY_AFTER_MS.0 + random.below(COPY_AFTER_MS.1 - COPY_AFTER_MS.0);
+            thread::sleep(Duration::from_millis(copy_after));
+            // Only when nothing else waits on the connection. What is still on its way here counts as waiting too.
+            if sent_by_node.load(Ordering::SeqCst) == number {
+                counts.copies.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("{name} sends a second copy of the answer to {id}, {copy_after} ms after it"));
+                let _ = to_node.send((Instant::now() + one_way, answer));
             }
-            is_repeat
-        };
-        record.line(format!("s-{number} {} {} {id} {facts}", if is_repeat { "drops" } else { "runs" }, command.word(0)));
-        if !is_repeat && random.below(RESET_ONE_IN) == 0 {
-            resets.fetch_add(1, Ordering::Relaxed);
-            record.line(format!("s-{number} ends the connection of {id} after the run"));
-            return Ok(());
         }
-        stream.write_all(&hit(format!("receipt of {id}").as_bytes()))?;
+    });
+    while let Some(command) = read_command(&mut reader)? {
+        let number = sent.fetch_add(1, Ordering::SeqCst) + 1;
+        let _ = to_server.send((Instant::now() + one_way, number, command));
     }
     Ok(())
 }
 
-fn client(
-    number: u64,
-    addr: std::net::SocketAddr,
-    until: Instant,
-    answers: &[AtomicU64; 3],
-    record: &Record,
-) -> io::Result<()> {
+fn client(number: u64, addr: SocketAddr, until: Instant, counts: &Counts, record: &Record) -> io::Result<()> {
     let stream = TcpStream::connect(addr)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
     let mut random = Random::new(number + 1);
-    let pause = 2 * 1_000 * CLIENTS / WRITES_PER_SECOND;
+    let pause = 2 * 1_000 * CLIENTS / READS_PER_SECOND;
+    let mut own: HashMap<String, Vec<u8>> = HashMap::new();
     for index in 0.. {
         thread::sleep(Duration::from_millis(random.below(pause)));
         if Instant::now() > until {
             break;
         }
-        let id = format!("{number:04x}{index:04x}");
-        let facts = format!("c=write,t=one,d={DEADLINE_MS},k=w{id}");
-        let key = format!("key{}", random.below(1_000));
-        record.line(format!("client {number} sends CACHE.SET {key} {id} {facts}"));
-        stream.write_all(&command(&[b"CACHE.SET", key.as_bytes(), id.as_bytes(), facts.as_bytes(), b"a value"]))?;
-        let reply = read_reply(&mut reader)?;
-        let (kind, text) = match reply {
-            Reply::Value(_) => (0, "served".to_owned()),
-            Reply::Error(text) if text.starts_with("BUSY") => (1, text),
-            Reply::Error(text) => (2, text),
-        };
-        answers[kind].fetch_add(1, Ordering::Relaxed);
-        record.line(format!("client {number} is answered {id}: {text}"));
+        let (key, id) = (format!("key{}", random.below(KEYS)), format!("{number:04x}{index:06x}"));
+        own.insert(id.clone(), value_for(&key, &id, VALUE_BYTES));
+        record.line(format!("client {number} sends CACHE.GET {key} {id}"));
+        stream.write_all(&command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), b"c=read,t=one,d=1200"]))?;
+        match read_reply(&mut reader)? {
+            Reply::Value(value) if value == own[&id] => {
+                counts.right.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("client {number} is answered {id}: its value"));
+            }
+            Reply::Value(value) => {
+                let text = String::from_utf8_lossy(&value).into_owned();
+                let made_for = text.split('/').nth(1).unwrap_or("?").to_owned();
+                record.line(format!("client {number} is answered {id}: ANOTHER VALUE, made for {made_for}"));
+                counts.wrong.lock().unwrap().push((id, made_for));
+            }
+            Reply::Error(text) => {
+                counts.refused_or_failed.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("client {number} is answered {id}: {text}"));
+            }
+        }
     }
     Ok(())
 }
