--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -6,6 +6,8 @@
 mod case1;
 #[path = "../2/case.rs"]
 mod case2;
+#[path = "../3/case.rs"]
+mod case3;
 
 use std::env;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -29,6 +31,7 @@
     let played = catch_unwind(AssertUnwindSafe(|| match number.as_str() {
         "1" => case1::run(&case),
         "2" => case2::run(&case),
+        "3" => case3::run(&case),
         _ => Err(std::io::Error::other("no such case")),
     }));
     let played = played.unwrap_or_else(|_| Err(std::io::Error::other("the stand-ins have failed")));
