--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,177 +1,170 @@
-//! Cache servers that are some milliseconds away send a second copy of some answers.
+//! A planned restart while clients read long values.
 
 use std::collections::HashMap;
-use std::io::{self, BufReader, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::world::*;
 
-/// Cache servers, two in each zone.
-const SERVERS: u64 = 6;
-/// The time of a message on its way between the node and a cache server of its own zone, and of another one.
-const ONE_WAY_SAME: Duration = Duration::from_micros(200);
-const ONE_WAY_CROSS: Duration = Duration::from_millis(10);
-/// The work of a request.
-const WORK: Duration = Duration::from_millis(20);
-/// One answer in so many is followed by a second copy of it, if nothing else waits on the connection by then.
-const COPY_ONE_IN: u64 = 50;
-/// A copy comes 2 to 6 ms after the answer.
-const COPY_AFTER_MS: (u64, u64) = (2, 7);
-const CLIENTS: u64 = 30;
-const READS_PER_SECOND: u64 = 250;
-const KEYS: u64 = 500;
-const VALUE_BYTES: usize = 200;
-const PLAYED: Duration = Duration::from_secs(30);
+/// The longest value that the pages name.
+const LONG_VALUE_BYTES: usize = 4 << 20;
+const SERVERS: usize = 3;
+/// The work of a read at a cache server.
+const CACHE_WORK: Duration = Duration::from_millis(100);
+/// A cache server gives a value in parts of this length, with this pause between them: in 6.4 s.
+const PART_BYTES: usize = 64 << 10;
+const PART_PAUSE: Duration = Duration::from_millis(100);
+/// The clients, which begin one after the other.
+const READERS: usize = 6;
+const READERS_APART: Duration = Duration::from_millis(200);
+/// What the clients tell as `d`. Over 64 KiB the timing covers the first bytes.
+const CLIENT_WAITS: Duration = Duration::from_millis(1_200);
+/// When the platform sends SIGTERM, counted from the first read.
+const SIGTERM_AT: Duration = Duration::from_millis(1_500);
+/// When it sends SIGKILL, counted from SIGTERM: no sooner than 3.7 s.
+const SIGKILL_AFTER: Duration = Duration::from_millis(10_000);
+const PLAYED: Duration = Duration::from_millis(15_000);
 
-#[derive(Default)]
-struct Counts {
-    copies: AtomicU64,
-    right: AtomicU64,
-    refused_or_failed: AtomicU64,
-    /// Requests that were answered with a value that was not made for them, with the id of the one it was made for.
-    wrong: Mutex<Vec<(String, String)>>,
+/// How many bytes of the value of each read its cache server has given, and whether it could give all.
+type Given = Arc<Mutex<HashMap<String, (usize, bool)>>>;
+
+struct ReadSeen {
+    id: String,
+    first_after: Duration,
+    received: usize,
+    whole: bool,
+    ended: String,
+    /// When the connection ended or the value was whole.
+    ended_at: Instant,
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
     let record = &case.record;
     let temp = TempFolder::create()?;
-    let counts = Arc::new(Counts::default());
+    let given = Given::default();
     let mut listed = Vec::new();
     for number in 0..SERVERS {
-        let zone = ZONES[number as usize / 2];
-        let one_way = if zone == ZONES[0] { ONE_WAY_SAME } else { ONE_WAY_CROSS };
-        let (counts, record, trouble) = (counts.clone(), record.clone(), case.trouble);
-        let addr = serve(move |stream, connection| {
-            let random = Random::new(number * 1_000 + connection as u64 + 1);
-            let name = format!("s-{number}/{connection}");
-            cache_server(&name, stream, one_way, random, trouble, &counts, &record)
-        })?;
-        listed.push(Listed { zone, ..Listed::new(&format!("s-{number}"), addr, "box") });
+        let (given, record) = (given.clone(), record.clone());
+        let addr = serve(move |stream, _| cache_server(number, stream, &given, &record))?;
+        listed.push(Listed::new(&format!("s-{number}"), addr, "box"));
     }
+    let addr = serve(|_, _| Ok(()))?; // the origin is not asked
+    listed.push(Listed::new("origin-0", addr, "origin"));
     let discovery = Discovery::start(listed, record)?;
     let mut node = Node::start(case, &temp, &Setup::default(), &discovery)?;
-    let until = Instant::now() + PLAYED;
-    let clients: Vec<_> = (0..CLIENTS)
+    let begin = Instant::now();
+    let until = begin + PLAYED;
+    let readers: Vec<_> = (0..READERS)
         .map(|number| {
-            let (addr, counts, record) = (node.addr, counts.clone(), record.clone());
-            thread::spawn(move || client(number, addr, until, &counts, &record))
+            let (addr, record) = (node.addr, record.clone());
+            thread::spawn(move || {
+                thread::sleep(READERS_APART * number as u32);
+                reader(number, addr, until, &record)
+            })
         })
         .collect();
-    for client in clients {
-        client.join().map_err(|_| io::Error::other("a client has failed"))??;
-    }
-    if let Some(status) = node.ended() {
-        return Err(io::Error::other(format!("the node ended: {status}; {}", node.log_tail())));
+    let mut node_ended_after = None;
+    let sigterm_at = begin + SIGTERM_AT;
+    if case.trouble {
+        thread::sleep(sigterm_at.saturating_duration_since(Instant::now()));
+        record.say("the platform sends SIGTERM");
+        node.signal("TERM")?;
+        while sigterm_at.elapsed() < SIGKILL_AFTER {
+            thread::sleep(Duration::from_millis(5));
+            if let Some(status) = node.ended() {
+                node_ended_after = Some(sigterm_at.elapsed());
+                record.say(format!("the node has ended by itself {} ms after SIGTERM: {status}", sigterm_at.elapsed().as_millis()));
+                break;
+            }
+        }
+        if node_ended_after.is_none() {
+            record.say("the platform sends SIGKILL");
+            let _ = node.signal("KILL");
+        }
     }
-    let right = counts.right.load(Ordering::Relaxed);
-    let wrong = counts.wrong.lock().unwrap();
-    record.say(format!(
-        "second copies sent {}; reads answered with their own value {right}, with another request's value {}, with an error {}",
-        counts.copies.load(Ordering::Relaxed),
-        wrong.len(),
-        counts.refused_or_failed.load(Ordering::Relaxed)
-    ));
-    for (asked, got) in wrong.iter().take(5) {
-        record.say(format!("  request {asked} was answered with the value that was made for {got}"));
+    let mut begun = 0;
+    let mut verdict = Verdict::Held;
+    for reader in readers {
+        let seen = reader.join().map_err(|_| io::Error::other("a reader has failed"))??;
+        let (given, _) = given.lock().unwrap().get(&seen.id).copied().unwrap_or_default();
+        record.say(format!(
+            "read {}: first bytes after {} ms; {}, {} of {LONG_VALUE_BYTES} bytes, while the server had given {given}",
+            seen.id, seen.first_after.as_millis(), seen.ended, seen.received
+        ));
+        let in_time = seen.received > 0 && seen.first_after < CLIENT_WAITS;
+        begun += usize::from(in_time);
+        // Ended by the node itself, not by the platform's SIGKILL.
+        let before_kill = node_ended_after.is_some() || seen.ended_at < sigterm_at + SIGKILL_AFTER;
+        if in_time && !seen.whole && before_kill {
+            verdict = Verdict::Broken;
+        }
     }
-    if right < 1_000 {
-        return Err(io::Error::other("too few reads were served to judge"));
+    if begun == 0 {
+        return Err(io::Error::other("no long read has begun"));
     }
-    Ok(if wrong.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(verdict)
 }
 
-/// What is on its way from a cache server to the node: when it arrives, and its bytes.
-type OnItsWay = mpsc::Sender<(Instant, Vec<u8>)>;
-
-/// Holds every key, and answers in the order of the commands. The network between it and the node takes `one_way` in both
-/// directions, which this plays.
-fn cache_server(
-    name: &str,
-    stream: TcpStream,
-    one_way: Duration,
-    mut random: Random,
-    trouble: bool,
-    counts: &Arc<Counts>,
-    record: &Record,
-) -> io::Result<()> {
+/// Holds every key, and gives a value steadily.
+fn cache_server(number: usize, stream: TcpStream, given: &Given, record: &Record) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
-    let (to_node, on_its_way): (OnItsWay, _) = mpsc::channel();
-    spawn(move || {
-        for (arrives, bytes) in on_its_way {
-            thread::sleep(arrives.saturating_duration_since(Instant::now()));
-            if stream.write_all(&bytes).is_err() {
-                return;
-            }
-        }
-    });
-    // The number of commands that the node has sent on this connection, those on their way included.
-    let sent = Arc::new(AtomicU64::new(0));
-    let (to_server, commands) = mpsc::channel::<(Instant, u64, CacheCommand)>();
-    let (name, sent_by_node, counts, record) = (name.to_owned(), sent.clone(), counts.clone(), record.clone());
-    spawn(move || {
-        for (arrives, number, command) in commands {
-            thread::sleep((arrives + WORK).saturating_duration_since(Instant::now()));
-            let id = command.word(2);
-            let answer = hit(&value_for(&command.word(1), &id, VALUE_BYTES));
-            record.line(format!("{name} answers {id}"));
-            let _ = to_node.send((Instant::now() + one_way, answer.clone()));
-            if !trouble || random.below(COPY_ONE_IN) != 0 {
-                continue;
-            }
-            let copy_after = COPY_AFTER_MS.0 + random.below(COPY_AFTER_MS.1 - COPY_AFTER_MS.0);
-            thread::sleep(Duration::from_millis(copy_after));
-            // Only when nothing else waits on the connection. What is still on its way here counts as waiting too.
-            if sent_by_node.load(Ordering::SeqCst) == number {
-                counts.copies.fetch_add(1, Ordering::Relaxed);
-                record.line(format!("{name} sends a second copy of the answer to {id}, {copy_after} ms after it"));
-                let _ = to_node.send((Instant::now() + one_way, answer));
+    while let Some(command) = read_command(&mut reader)? {
+        let (key, id) = (command.word(1), command.word(2));
+        thread::sleep(CACHE_WORK);
+        record.line(format!("s-{number} begins to give the value for {id}"));
+        for part in hit(&value_for(&key, &id, LONG_VALUE_BYTES)).chunks(PART_BYTES) {
+            if let Err(error) = stream.write_all(part) {
+                record.line(format!("s-{number} cannot give the rest for {id}: {error}"));
+                return Err(error);
             }
+            given.lock().unwrap().entry(id.clone()).or_default().0 += part.len();
+            thread::sleep(PART_PAUSE);
         }
-    });
-    while let Some(command) = read_command(&mut reader)? {
-        let number = sent.fetch_add(1, Ordering::SeqCst) + 1;
-        let _ = to_server.send((Instant::now() + one_way, number, command));
+        record.line(format!("s-{number} has given the whole value for {id}"));
     }
     Ok(())
 }
 
-fn client(number: u64, addr: SocketAddr, until: Instant, counts: &Counts, record: &Record) -> io::Result<()> {
-    let stream = TcpStream::connect(addr)?;
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let mut stream = stream;
-    let mut random = Random::new(number + 1);
-    let pause = 2 * 1_000 * CLIENTS / READS_PER_SECOND;
-    let mut own: HashMap<String, Vec<u8>> = HashMap::new();
-    for index in 0.. {
-        thread::sleep(Duration::from_millis(random.below(pause)));
+/// Reads one long value as fast as it comes.
+fn reader(number: usize, addr: SocketAddr, until: Instant, record: &Record) -> io::Result<ReadSeen> {
+    let mut stream = TcpStream::connect(addr)?;
+    let (key, id) = (format!("long{number}"), format!("aa{number:04x}"));
+    let facts = format!("c=read,t=one,d={}", CLIENT_WAITS.as_millis());
+    stream.write_all(&command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), facts.as_bytes()]))?;
+    record.line(format!("reader {number} sends CACHE.GET {key} {id}"));
+    stream.set_read_timeout(Some(Duration::from_millis(50)))?;
+    let begin = Instant::now();
+    let length = LONG_VALUE_BYTES + format!("${LONG_VALUE_BYTES}\r\n\r\n").len();
+    let mut seen =
+        ReadSeen { id, first_after: Duration::ZERO, received: 0, whole: false, ended: String::new(), ended_at: begin };
+    let mut buffer = vec![0; 64 << 10];
+    while seen.received < length && seen.ended.is_empty() {
         if Instant::now() > until {
+            seen.ended = "not whole at the end of the play".into();
             break;
         }
-        let (key, id) = (format!("key{}", random.below(KEYS)), format!("{number:04x}{index:06x}"));
-        own.insert(id.clone(), value_for(&key, &id, VALUE_BYTES));
-        record.line(format!("client {number} sends CACHE.GET {key} {id}"));
-        stream.write_all(&command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), b"c=read,t=one,d=1200"]))?;
-        match read_reply(&mut reader)? {
-            Reply::Value(value) if value == own[&id] => {
-                counts.right.fetch_add(1, Ordering::Relaxed);
-                record.line(format!("client {number} is answered {id}: its value"));
-            }
-            Reply::Value(value) => {
-                let text = String::from_utf8_lossy(&value).into_owned();
-                let made_for = text.split('/').nth(1).unwrap_or("?").to_owned();
-                record.line(format!("client {number} is answered {id}: ANOTHER VALUE, made for {made_for}"));
-                counts.wrong.lock().unwrap().push((id, made_for));
-            }
-            Reply::Error(text) => {
-                counts.refused_or_failed.fetch_add(1, Ordering::Relaxed);
-                record.line(format!("client {number} is answered {id}: {text}"));
+        match stream.read(&mut buffer) {
+            Ok(0) => seen.ended = "the connection was closed".into(),
+            Ok(read) => {
+                if seen.received == 0 {
+                    seen.first_after = begin.elapsed();
+                }
+                seen.received += read;
             }
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(error) => seen.ended = format!("the connection broke: {error}"),
         }
     }
-    Ok(())
+    seen.whole = seen.received == length;
+    seen.ended_at = Instant::now();
+    if seen.whole {
+        seen.ended = "whole".into();
+    }
+    seen.ended = format!("{} after {:.1} s", seen.ended, begin.elapsed().as_secs_f64());
+    record.line(format!("reader {number} ends: {}", seen.ended));
+    Ok(seen)
 }
