--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,191 +1,177 @@
-//! Clients that send a long read and many ordinary reads at once.
+//! Cache servers that are some milliseconds away send a second copy of some answers.
 
+use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::world::*;
 
-/// The longest value that the pages name, and the longest ordinary one.
-const LONG_VALUE_BYTES: usize = 4 << 20;
-const ORDINARY_VALUE_BYTES: usize = 64 << 10;
-/// The memory limit of the node.
-const MEMORY_MB: usize = 64;
-const SERVERS: usize = 8;
-/// The work of a read at a cache server.
-const CACHE_WORK: Duration = Duration::from_millis(20);
-/// A cache server gives a long value in parts of this length, with this pause between them: in 5.1 s.
-const PART_BYTES: usize = 64 << 10;
-const PART_PAUSE: Duration = Duration::from_millis(80);
-/// The clients. Each begins a round of one long read and this number of ordinary ones so often, one after the other.
-const CLIENTS: usize = 22;
-const ORDINARY_READS: usize = 60;
-const ROUND: Duration = Duration::from_millis(5_500);
-/// What the clients tell as `d`.
-const CLIENT_WAITS: Duration = Duration::from_millis(1_200);
-/// How often the platform looks at the memory.
-const LOOK_INTERVAL: Duration = Duration::from_millis(10);
-const PLAYED: Duration = Duration::from_millis(25_000);
+/// Cache servers, two in each zone.
+const SERVERS: u64 = 6;
+/// The time of a message on its way between the node and a cache server of its own zone, and of another one.
+const ONE_WAY_SAME: Duration = Duration::from_micros(200);
+const ONE_WAY_CROSS: Duration = Duration::from_millis(10);
+/// The work of a request.
+const WORK: Duration = Duration::from_millis(20);
+/// One answer in so many is followed by a second copy of it, if nothing else waits on the connection by then.
+const COPY_ONE_IN: u64 = 50;
+/// A copy comes 2 to 6 ms after the answer.
+const COPY_AFTER_MS: (u64, u64) = (2, 7);
+const CLIENTS: u64 = 30;
+const READS_PER_SECOND: u64 = 250;
+const KEYS: u64 = 500;
+const VALUE_BYTES: usize = 200;
+const PLAYED: Duration = Duration::from_secs(30);
 
-/// The requests of all clients so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Default)]
 struct Counts {
-    sent: usize,
-    served: usize,
-    refused: usize,
-    failed: usize,
+    copies: AtomicU64,
+    right: AtomicU64,
+    refused_or_failed: AtomicU64,
+    /// Requests that were answered with a value that was not made for them, with the id of the one it was made for.
+    wrong: Mutex<Vec<(String, String)>>,
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
     let record = &case.record;
     let temp = TempFolder::create()?;
+    let counts = Arc::new(Counts::default());
     let mut listed = Vec::new();
     for number in 0..SERVERS {
-        let record = record.clone();
-        let addr = serve(move |stream, _| cache_server(number, stream, &record))?;
-        listed.push(Listed::new(&format!("s-{number}"), addr, "box"));
+        let zone = ZONES[number as usize / 2];
+        let one_way = if zone == ZONES[0] { ONE_WAY_SAME } else { ONE_WAY_CROSS };
+        let (counts, record, trouble) = (counts.clone(), record.clone(), case.trouble);
+        let addr = serve(move |stream, connection| {
+            let random = Random::new(number * 1_000 + connection as u64 + 1);
+            let name = format!("s-{number}/{connection}");
+            cache_server(&name, stream, one_way, random, trouble, &counts, &record)
+        })?;
+        listed.push(Listed { zone, ..Listed::new(&format!("s-{number}"), addr, "box") });
     }
-    let addr = serve(origin)?;
-    listed.push(Listed::new("origin-0", addr, "origin"));
     let discovery = Discovery::start(listed, record)?;
-    let setup = Setup { memory_mb: MEMORY_MB, ..Setup::default() };
-    let mut node = Node::start(case, &temp, &setup, &discovery)?;
-    let begin = Instant::now();
-    let until = begin + PLAYED;
-    let counts: Arc<Mutex<Counts>> = Arc::default();
-    for number in 0..CLIENTS {
-        let (addr, together, counts, record) = (node.addr, case.trouble, counts.clone(), record.clone());
-        spawn(move || {
-            thread::sleep(ROUND * number as u32 / CLIENTS as u32);
-            if let Err(error) = client(number, addr, together, until, &counts, &record) {
-                record.line(format!("client {number} ends: {error}"));
-            }
-        });
-    }
-    // The platform: a node over its memory limit is killed.
-    let limit = (MEMORY_MB as u64) << 20;
-    let (mut most, mut next_line) = (0, begin);
-    let mut killed = false;
-    while Instant::now() < until {
-        thread::sleep(LOOK_INTERVAL);
-        let Some(now) = node.anonymous_memory() else { break };
-        most = most.max(now);
-        if Instant::now() >= next_line {
-            next_line += Duration::from_millis(250);
-            record.line(format!("the node has {} KiB; {:?}", now >> 10, counts.lock().unwrap()));
-        }
-        if now > limit {
-            record.say(format!(
-                "after {:.1} s the node has allocated {} KiB, and its limit is {} KiB: it is killed; {:?}",
-                begin.elapsed().as_secs_f64(),
-                now >> 10,
-                limit >> 10,
-                counts.lock().unwrap()
-            ));
-            killed = true;
-            break;
-        }
-    }
-    let counts = *counts.lock().unwrap();
-    record.say(format!("most memory {} KiB of {}; {counts:?}", most >> 10, limit >> 10));
-    if killed {
-        node.signal("KILL")?;
-        return Ok(Verdict::Broken);
+    let mut node = Node::start(case, &temp, &Setup::default(), &discovery)?;
+    let until = Instant::now() + PLAYED;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (addr, counts, record) = (node.addr, counts.clone(), record.clone());
+            thread::spawn(move || client(number, addr, until, &counts, &record))
+        })
+        .collect();
+    for client in clients {
+        client.join().map_err(|_| io::Error::other("a client has failed"))??;
     }
     if let Some(status) = node.ended() {
         return Err(io::Error::other(format!("the node ended: {status}; {}", node.log_tail())));
     }
-    if counts.served == 0 {
-        return Err(io::Error::other("no read was served"));
+    let right = counts.right.load(Ordering::Relaxed);
+    let wrong = counts.wrong.lock().unwrap();
+    record.say(format!(
+        "second copies sent {}; reads answered with their own value {right}, with another request's value {}, with an error {}",
+        counts.copies.load(Ordering::Relaxed),
+        wrong.len(),
+        counts.refused_or_failed.load(Ordering::Relaxed)
+    ));
+    for (asked, got) in wrong.iter().take(5) {
+        record.say(format!("  request {asked} was answered with the value that was made for {got}"));
     }
-    Ok(Verdict::Held)
+    if right < 1_000 {
+        return Err(io::Error::other("too few reads were served to judge"));
+    }
+    Ok(if wrong.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// Holds every key, and gives a long value steadily.
-fn cache_server(number: usize, stream: TcpStream, record: &Record) -> io::Result<()> {
+/// What is on its way from a cache server to the node: when it arrives, and its bytes.
+type OnItsWay = mpsc::Sender<(Instant, Vec<u8>)>;
+
+/// Holds every key, and answers in the order of the commands. The network between it and the node takes `one_way` in both
+/// directions, which this plays.
+fn cache_server(
+    name: &str,
+    stream: TcpStream,
+    one_way: Duration,
+    mut random: Random,
+    trouble: bool,
+    counts: &Arc<Counts>,
+    record: &Record,
+) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
-    while let Some(command) = read_command(&mut reader)? {
-        let (key, id) = (command.word(1), command.word(2));
-        thread::sleep(CACHE_WORK);
-        if !key.starts_with("long") {
-            stream.write_all(&hit(&value_for(&key, &id, ORDINARY_VALUE_BYTES)))?;
-            continue;
+    let (to_node, on_its_way): (OnItsWay, _) = mpsc::channel();
+    spawn(move || {
+        for (arrives, bytes) in on_its_way {
+            thread::sleep(arrives.saturating_duration_since(Instant::now()));
+            if stream.write_all(&bytes).is_err() {
+                return;
+            }
         }
-        record.line(format!("s-{number} begins to give the value for {id}"));
-        for part in hit(&value_for(&key, &id, LONG_VALUE_BYTES)).chunks(PART_BYTES) {
-            stream.write_all(part)?;
-            thread::sleep(PART_PAUSE);
+    });
+    // The number of commands that the node has sent on this connection, those on their way included.
+    let sent = Arc::new(AtomicU64::new(0));
+    let (to_server, commands) = mpsc::channel::<(Instant, u64, CacheCommand)>();
+    let (name, sent_by_node, counts, record) = (name.to_owned(), sent.clone(), counts.clone(), record.clone());
+    spawn(move || {
+        for (arrives, number, command) in commands {
+            thread::sleep((arrives + WORK).saturating_duration_since(Instant::now()));
+            let id = command.word(2);
+            let answer = hit(&value_for(&command.word(1), &id, VALUE_BYTES));
+            record.line(format!("{name} answers {id}"));
+            let _ = to_node.send((Instant::now() + one_way, answer.clone()));
+            if !trouble || random.below(COPY_ONE_IN) != 0 {
+                continue;
+            }
+            let copy_after = COPY_AFTER_MS.0 + random.below(COPY_AFTER_MS.1 - COPY_AFTER_MS.0);
+            thread::sleep(Duration::from_millis(copy_after));
+            // Only when nothing else waits on the connection. What is still on its way here counts as waiting too.
+            if sent_by_node.load(Ordering::SeqCst) == number {
+                counts.copies.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("{name} sends a second copy of the answer to {id}, {copy_after} ms after it"));
+                let _ = to_node.send((Instant::now() + one_way, answer));
+            }
         }
-        record.line(format!("s-{number} has given the whole value for {id}"));
+    });
+    while let Some(command) = read_command(&mut reader)? {
+        let number = sent.fetch_add(1, Ordering::SeqCst) + 1;
+        let _ = to_server.send((Instant::now() + one_way, number, command));
     }
     Ok(())
 }
 
-/// Answers reads after some time. It is asked only if no cache server may be.
-fn origin(stream: TcpStream, _: usize) -> io::Result<()> {
+fn client(number: u64, addr: SocketAddr, until: Instant, counts: &Counts, record: &Record) -> io::Result<()> {
+    let stream = TcpStream::connect(addr)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
-    while let Some(request) = read_http(&mut reader)? {
-        thread::sleep(Duration::from_millis(150));
-        let value = value_for(request.path.trim_start_matches('/'), request.header("X-Correlation-Id"), 1_000);
-        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", value.len())?;
-        stream.write_all(&value)?;
-    }
-    Ok(())
-}
-
-/// Sends the reads of a round at once, or one after the other, and reads the answers as fast as they come.
-fn client(
-    number: usize,
-    addr: SocketAddr,
-    together: bool,
-    until: Instant,
-    counts: &Mutex<Counts>,
-    record: &Record,
-) -> io::Result<()> {
-    let mut stream = TcpStream::connect(addr)?;
-    stream.set_nodelay(true)?;
-    let leaving = stream.try_clone()?;
-    spawn(move || {
-        thread::sleep(until.saturating_duration_since(Instant::now()));
-        let _ = leaving.shutdown(Shutdown::Both);
-    });
-    let mut answers = BufReader::new(stream.try_clone()?);
-    for round in 0.. {
-        let begin = Instant::now();
-        let reads: Vec<Vec<u8>> = (0..=ORDINARY_READS)
-            .map(|index| {
-                let id = format!("{number:04x}{round:04x}{index:04x}");
-                let key = format!("{}{id}", if index == 0 { "long" } else { "key" });
-                let facts = format!("c=read,t=one,d={}", CLIENT_WAITS.as_millis());
-                command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), facts.as_bytes()])
-            })
-            .collect();
-        if together {
-            record.line(format!("client {number} sends {} reads at once", reads.len()));
-            counts.lock().unwrap().sent += reads.len();
-            stream.write_all(&reads.concat())?;
-        } else {
-            record.line(format!("client {number} begins to send {} reads, one after the other", reads.len()));
+    let mut random = Random::new(number + 1);
+    let pause = 2 * 1_000 * CLIENTS / READS_PER_SECOND;
+    let mut own: HashMap<String, Vec<u8>> = HashMap::new();
+    for index in 0.. {
+        thread::sleep(Duration::from_millis(random.below(pause)));
+        if Instant::now() > until {
+            break;
         }
-        for read in &reads {
-            if !together {
-                counts.lock().unwrap().sent += 1;
-                stream.write_all(read)?;
+        let (key, id) = (format!("key{}", random.below(KEYS)), format!("{number:04x}{index:06x}"));
+        own.insert(id.clone(), value_for(&key, &id, VALUE_BYTES));
+        record.line(format!("client {number} sends CACHE.GET {key} {id}"));
+        stream.write_all(&command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), b"c=read,t=one,d=1200"]))?;
+        match read_reply(&mut reader)? {
+            Reply::Value(value) if value == own[&id] => {
+                counts.right.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("client {number} is answered {id}: its value"));
+            }
+            Reply::Value(value) => {
+                let text = String::from_utf8_lossy(&value).into_owned();
+                let made_for = text.split('/').nth(1).unwrap_or("?").to_owned();
+                record.line(format!("client {number} is answered {id}: ANOTHER VALUE, made for {made_for}"));
+                counts.wrong.lock().unwrap().push((id, made_for));
             }
-            let reply = read_reply(&mut answers)?;
-            let mut counts = counts.lock().unwrap();
-            match reply {
-                Reply::Value(_) => counts.served += 1,
-                Reply::Error(text) if text.starts_with("BUSY") => counts.refused += 1,
-                Reply::Error(_) => counts.failed += 1,
+            Reply::Error(text) => {
+                counts.refused_or_failed.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("client {number} is answered {id}: {text}"));
             }
         }
-        record.line(format!("client {number} has all answers of its round after {} ms", begin.elapsed().as_millis()));
-        thread::sleep((begin + ROUND).saturating_duration_since(Instant::now()));
     }
     Ok(())
 }
