--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,170 +1,168 @@
-//! A planned restart while clients read long values.
+//! A configuration file that misses a key of a class is not turned down, and keyed writes run twice from then on.
 
 use std::collections::HashMap;
-use std::io::{self, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::world::*;
 
-/// The longest value that the pages name.
-const LONG_VALUE_BYTES: usize = 4 << 20;
-const SERVERS: usize = 3;
-/// The work of a read at a cache server.
-const CACHE_WORK: Duration = Duration::from_millis(100);
-/// A cache server gives a value in parts of this length, with this pause between them: in 6.4 s.
-const PART_BYTES: usize = 64 << 10;
-const PART_PAUSE: Duration = Duration::from_millis(100);
-/// The clients, which begin one after the other.
-const READERS: usize = 6;
-const READERS_APART: Duration = Duration::from_millis(200);
-/// What the clients tell as `d`. Over 64 KiB the timing covers the first bytes.
-const CLIENT_WAITS: Duration = Duration::from_millis(1_200);
-/// When the platform sends SIGTERM, counted from the first read.
-const SIGTERM_AT: Duration = Duration::from_millis(1_500);
-/// When it sends SIGKILL, counted from SIGTERM: no sooner than 3.7 s.
-const SIGKILL_AFTER: Duration = Duration::from_millis(10_000);
-const PLAYED: Duration = Duration::from_millis(15_000);
+/// Cache servers, two in each zone.
+const SERVERS: usize = 6;
+/// One write in so many loses its connection after it has run.
+const RESET_ONE_IN: u64 = 20;
+const CLIENTS: u64 = 10;
+const WRITES_PER_SECOND: u64 = 50;
+const PLAYED: Duration = Duration::from_secs(20);
+/// Clients start on new settings 1.2 s after SIGHUP at the earliest.
+const AFTER_RELOAD: Duration = Duration::from_millis(1_500);
+/// The window in which the servers of a zone drop repeats, and the deadline of the class.
+const WINDOW: Duration = Duration::from_millis(3_000);
+const DEADLINE_MS: u64 = 2_000;
 
-/// How many bytes of the value of each read its cache server has given, and whether it could give all.
-type Given = Arc<Mutex<HashMap<String, (usize, bool)>>>;
-
-struct ReadSeen {
-    id: String,
-    first_after: Duration,
-    received: usize,
-    whole: bool,
-    ended: String,
-    /// When the connection ended or the value was whole.
-    ended_at: Instant,
+fn zone_of(server: usize) -> &'static str {
+    ZONES[server / 2]
 }
 
+/// One run of a write: by the server, at the time.
+type Runs = Arc<Mutex<HashMap<String, Vec<(usize, Instant)>>>>;
+
 pub fn run(case: &Case) -> io::Result<Verdict> {
     let record = &case.record;
     let temp = TempFolder::create()?;
-    let given = Given::default();
+    let runs: Runs = Arc::default();
     let mut listed = Vec::new();
+    let resets = Arc::new(AtomicU64::new(0));
     for number in 0..SERVERS {
-        let (given, record) = (given.clone(), record.clone());
-        let addr = serve(move |stream, _| cache_server(number, stream, &given, &record))?;
-        listed.push(Listed::new(&format!("s-{number}"), addr, "box"));
+        let (runs, record, resets) = (runs.clone(), record.clone(), resets.clone());
+        let addr = serve(move |stream, connection| {
+            let random = Random::new((number * 1_000 + connection + 1) as u64);
+            cache_server(number, stream, random, &runs, &resets, &record)
+        })?;
+        listed.push(Listed { zone: zone_of(number), ..Listed::new(&format!("s-{number}"), addr, "box") });
     }
-    let addr = serve(|_, _| Ok(()))?; // the origin is not asked
-    listed.push(Listed::new("origin-0", addr, "origin"));
     let discovery = Discovery::start(listed, record)?;
-    let mut node = Node::start(case, &temp, &Setup::default(), &discovery)?;
-    let begin = Instant::now();
-    let until = begin + PLAYED;
-    let readers: Vec<_> = (0..READERS)
+    let complete = Setup {
+        mode: "through",
+        write_scope: r#""DedupScope":"zone","#,
+        write_ms: DEADLINE_MS,
+        window_ms: WINDOW.as_millis() as u64,
+        ..Setup::default()
+    };
+    let mut node = Node::start(case, &temp, &complete, &discovery)?;
+    thread::sleep(Duration::from_millis(1_000));
+    if case.trouble {
+        record.say("the configuration is replaced by one whose class of writes misses the key DedupScope; SIGHUP");
+        node.reload(&Setup { write_scope: "", ..complete }, &discovery)?;
+    } else {
+        record.say("the configuration is replaced by the same one; SIGHUP");
+        node.reload(&complete, &discovery)?;
+    }
+    thread::sleep(AFTER_RELOAD);
+    let answers: Arc<[AtomicU64; 3]> = Arc::default();
+    let until = Instant::now() + PLAYED;
+    let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (addr, record) = (node.addr, record.clone());
-            thread::spawn(move || {
-                thread::sleep(READERS_APART * number as u32);
-                reader(number, addr, until, &record)
-            })
+            let (addr, answers, record) = (node.addr, answers.clone(), record.clone());
+            thread::spawn(move || client(number, addr, until, &answers, &record))
         })
         .collect();
-    let mut node_ended_after = None;
-    let sigterm_at = begin + SIGTERM_AT;
-    if case.trouble {
-        thread::sleep(sigterm_at.saturating_duration_since(Instant::now()));
-        record.say("the platform sends SIGTERM");
-        node.signal("TERM")?;
-        while sigterm_at.elapsed() < SIGKILL_AFTER {
-            thread::sleep(Duration::from_millis(5));
-            if let Some(status) = node.ended() {
-                node_ended_after = Some(sigterm_at.elapsed());
-                record.say(format!("the node has ended by itself {} ms after SIGTERM: {status}", sigterm_at.elapsed().as_millis()));
-                break;
-            }
-        }
-        if node_ended_after.is_none() {
-            record.say("the platform sends SIGKILL");
-            let _ = node.signal("KILL");
-        }
+    for client in clients {
+        client.join().map_err(|_| io::Error::other("a client has failed"))??;
     }
-    let mut begun = 0;
-    let mut verdict = Verdict::Held;
-    for reader in readers {
-        let seen = reader.join().map_err(|_| io::Error::other("a reader has failed"))??;
-        let (given, _) = given.lock().unwrap().get(&seen.id).copied().unwrap_or_default();
-        record.say(format!(
-            "read {}: first bytes after {} ms; {}, {} of {LONG_VALUE_BYTES} bytes, while the server had given {given}",
-            seen.id, seen.first_after.as_millis(), seen.ended, seen.received
-        ));
-        let in_time = seen.received > 0 && seen.first_after < CLIENT_WAITS;
-        begun += usize::from(in_time);
-        // Ended by the node itself, not by the platform's SIGKILL.
-        let before_kill = node_ended_after.is_some() || seen.ended_at < sigterm_at + SIGKILL_AFTER;
-        if in_time && !seen.whole && before_kill {
-            verdict = Verdict::Broken;
-        }
+    if let Some(status) = node.ended() {
+        return Err(io::Error::other(format!("the node ended: {status}; {}", node.log_tail())));
+    }
+    let answers: Vec<u64> = answers.iter().map(|count| count.load(Ordering::Relaxed)).collect();
+    record.say(format!("writes served {}, refused {}, failed {}", answers[0], answers[1], answers[2]));
+    let runs = runs.lock().unwrap();
+    let twice: Vec<_> = runs.iter().filter(|(_, runs)| runs.len() > 1).collect();
+    record.say(format!(
+        "writes that ran {}; connections reset after the run {}; writes that ran more than once {}",
+        runs.len(),
+        resets.load(Ordering::Relaxed),
+        twice.len()
+    ));
+    for (key, runs) in twice.iter().take(10) {
+        let servers: Vec<String> =
+            runs.iter().map(|(server, _)| format!("s-{server} (zone {})", zone_of(*server))).collect();
+        let apart = runs[1].1 - runs[0].1;
+        record.say(format!("  k={key} ran at {}, {} ms apart", servers.join(" and "), apart.as_millis()));
     }
-    if begun == 0 {
-        return Err(io::Error::other("no long read has begun"));
+    if answers[0] < 100 {
+        return Err(io::Error::other("too few writes were served to judge"));
     }
-    Ok(verdict)
+    Ok(if twice.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// Holds every key, and gives a value steadily.
-fn cache_server(number: usize, stream: TcpStream, given: &Given, record: &Record) -> io::Result<()> {
+/// Runs writes. The servers of a zone know which keys the others have run, and drop a repeat within the window.
+fn cache_server(
+    number: usize,
+    stream: TcpStream,
+    mut random: Random,
+    runs: &Runs,
+    resets: &AtomicU64,
+    record: &Record,
+) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
     while let Some(command) = read_command(&mut reader)? {
-        let (key, id) = (command.word(1), command.word(2));
-        thread::sleep(CACHE_WORK);
-        record.line(format!("s-{number} begins to give the value for {id}"));
-        for part in hit(&value_for(&key, &id, LONG_VALUE_BYTES)).chunks(PART_BYTES) {
-            if let Err(error) = stream.write_all(part) {
-                record.line(format!("s-{number} cannot give the rest for {id}: {error}"));
-                return Err(error);
+        thread::sleep(Duration::from_millis(20));
+        let (id, facts) = (command.word(2), command.word(3));
+        let key = facts.split(',').find_map(|fact| fact.strip_prefix("k=")).unwrap_or("").to_owned();
+        let is_repeat = {
+            let mut runs = runs.lock().unwrap();
+            let known = runs.entry(key.clone()).or_default();
+            let is_repeat = known.iter().any(|(server, at)| zone_of(*server) == zone_of(number) && at.elapsed() < WINDOW);
+            if !is_repeat {
+                known.push((number, Instant::now()));
             }
-            given.lock().unwrap().entry(id.clone()).or_default().0 += part.len();
-            thread::sleep(PART_PAUSE);
+            is_repeat
+        };
+        record.line(format!("s-{number} {} {} {id} {facts}", if is_repeat { "drops" } else { "runs" }, command.word(0)));
+        if !is_repeat && random.below(RESET_ONE_IN) == 0 {
+            resets.fetch_add(1, Ordering::Relaxed);
+            record.line(format!("s-{number} ends the connection of {id} after the run"));
+            return Ok(());
         }
-        record.line(format!("s-{number} has given the whole value for {id}"));
+        stream.write_all(&hit(format!("receipt of {id}").as_bytes()))?;
     }
     Ok(())
 }
 
-/// Reads one long value as fast as it comes.
-fn reader(number: usize, addr: SocketAddr, until: Instant, record: &Record) -> io::Result<ReadSeen> {
-    let mut stream = TcpStream::connect(addr)?;
-    let (key, id) = (format!("long{number}"), format!("aa{number:04x}"));
-    let facts = format!("c=read,t=one,d={}", CLIENT_WAITS.as_millis());
-    stream.write_all(&command(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), facts.as_bytes()]))?;
-    record.line(format!("reader {number} sends CACHE.GET {key} {id}"));
-    stream.set_read_timeout(Some(Duration::from_millis(50)))?;
-    let begin = Instant::now();
-    let length = LONG_VALUE_BYTES + format!("${LONG_VALUE_BYTES}\r\n\r\n").len();
-    let mut seen =
-        ReadSeen { id, first_after: Duration::ZERO, received: 0, whole: false, ended: String::new(), ended_at: begin };
-    let mut buffer = vec![0; 64 << 10];
-    while seen.received < length && seen.ended.is_empty() {
+fn client(
+    number: u64,
+    addr: std::net::SocketAddr,
+    until: Instant,
+    answers: &[AtomicU64; 3],
+    record: &Record,
+) -> io::Result<()> {
+    let stream = TcpStream::connect(addr)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut stream = stream;
+    let mut random = Random::new(number + 1);
+    let pause = 2 * 1_000 * CLIENTS / WRITES_PER_SECOND;
+    for index in 0.. {
+        thread::sleep(Duration::from_millis(random.below(pause)));
         if Instant::now() > until {
-            seen.ended = "not whole at the end of the play".into();
             break;
         }
-        match stream.read(&mut buffer) {
-            Ok(0) => seen.ended = "the connection was closed".into(),
-            Ok(read) => {
-                if seen.received == 0 {
-                    seen.first_after = begin.elapsed();
-                }
-                seen.received += read;
-            }
-            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
-            Err(error) => seen.ended = format!("the connection broke: {error}"),
-        }
+        let id = format!("{number:04x}{index:04x}");
+        let facts = format!("c=write,t=one,d={DEADLINE_MS},k=w{id}");
+        let key = format!("key{}", random.below(1_000));
+        record.line(format!("client {number} sends CACHE.SET {key} {id} {facts}"));
+        stream.write_all(&command(&[b"CACHE.SET", key.as_bytes(), id.as_bytes(), facts.as_bytes(), b"a value"]))?;
+        let reply = read_reply(&mut reader)?;
+        let (kind, text) = match reply {
+            Reply::Value(_) => (0, "served".to_owned()),
+            Reply::Error(text) if text.starts_with("BUSY") => (1, text),
+            Reply::Error(text) => (2, text),
+        };
+        answers[kind].fetch_add(1, Ordering::Relaxed);
+        record.line(format!("client {number} is answered {id}: {text}"));
     }
-    seen.whole = seen.received == length;
-    seen.ended_at = Instant::now();
-    if seen.whole {
-        seen.ended = "whole".into();
-    }
-    seen.ended = format!("{} after {:.1} s", seen.ended, begin.elapsed().as_secs_f64());
-    record.line(format!("reader {number} ends: {}", seen.ended));
-    Ok(seen)
+    Ok(())
 }
