Memory: a value in transit never waits for memory, and a command only in its time

What callers saw: long reads and long writes sent together on their connections locked the node for everything but short commands: reads that had begun got nothing more, ordinary writes were never answered. Clients that stopped in the middle of a long write delayed ordinary writes of others beyond their time.

Cause: one fair semaphore without time limits for all large buffers and all chunks. A session reserved a whole long write and held it while it passed on the read before it; each chunk of that read waited behind the next write that waited for 4 MiB, which waited for such a read to end. Whatever needed 8 KiB then stood in the same queue.

Change: memory_budget.rs states the rule as invariants. Values in transit take a full chunk if there is memory and 2 KiB otherwise, and never wait. Commands above 128 KiB get memory only while no reply is pending on their connection; smaller ones have a part of their own. A command waits for half of its client's time at most; then it is read, dropped and rejected unexecuted. A reservation keeps its place in the queue over a session's other events. The timeout of a client runs while it waits, and starts again as long as it sends.

Why it works: what a value holds depends on no other permit, and who waits for a command's memory holds none, so that there is no circle; each wait has an end.

The relay tests use the new constructor; the one on a client that reads nothing asks for 62 free chunks of 64 in place of 61, since a chunk is read only once there is room for it.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -136,6 +136,17 @@
         self.peek_now().is_ok_and(|bytes| bytes > 0)
     }
 
+    /// How many bytes there are to read, as the kernel sees it now, but at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is broken.
+    pub fn unread_bytes(&self, limit: usize) -> io::Result<usize> {
+        let mut scratch = vec![MaybeUninit::uninit(); limit];
+        let peeked = retry_interrupted(|| SockRef::from(&self.0).peek(&mut scratch));
+        if would_block(&peeked) { Ok(0) } else { peeked }
+    }
+
     fn peek(&self) -> io::Result<usize> {
         SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()])
     }
--- a/crates/node/src/clients/command.rs
+++ b/crates/node/src/clients/command.rs
@@ -2,11 +2,11 @@
 
 use std::str;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::Micros;
-use stonefold_proto::resp::MalformedFrame;
+use stonefold_proto::resp::{MalformedFrame, decode_frame};
 
 use crate::relay::{MAX_FRAME_BYTES, MAX_VALUE_BYTES};
 use crate::request::{ClientRequest, TIMEOUT_FIELD};
@@ -16,6 +16,8 @@
 /// The most RESP2 framing around the arguments in the header of a write, in bytes. The header is what precedes the
 /// value.
 const MAX_HEADER_OVERHEAD_BYTES: usize = 256;
+/// An empty bulk string of RESP2.
+const EMPTY_BULK_STRING: &[u8] = b"$0\r\n\r\n";
 /// The longest timeout that a client may state, in microseconds; a longer one is reduced to this.
 const MAX_TIMEOUT: Micros = 3_600_000_000;
 
@@ -81,16 +83,40 @@
     Ok(((timeout_ms * 1000.0) as Micros).min(MAX_TIMEOUT))
 }
 
-/// The total length of a write as its header announces it. `None` if `buffer` does not start with the complete header
-/// of a write of at most [`MAX_FRAME_BYTES`].
-pub(crate) fn announced_length(buffer: &[u8]) -> Option<usize> {
-    let header = &buffer[..buffer.len().min(MAX_ARGUMENT_BYTES + MAX_HEADER_OVERHEAD_BYTES)];
-    let mut position = header.strip_prefix(b"*5\r\n").map(|_| 4)?;
-    // The command name, the key, the id and the metadata precede the value.
-    for _ in 0..4 {
-        position = end_of_bulk_string(header, position)?;
+/// A write as its header announces it. The header is what precedes the value.
+pub(crate) struct AnnouncedWrite {
+    /// The length of the whole command, in bytes.
+    pub(crate) length: usize,
+    /// The length of the header, in bytes.
+    header_length: usize,
+}
+
+impl AnnouncedWrite {
+    /// Parses the header of a write. `None` if `buffer` does not start with the complete header of a write of at most
+    /// [`MAX_FRAME_BYTES`].
+    pub(crate) fn parse(buffer: &[u8]) -> Option<AnnouncedWrite> {
+        let header = &buffer[..buffer.len().min(MAX_ARGUMENT_BYTES + MAX_HEADER_OVERHEAD_BYTES)];
+        let mut position = header.strip_prefix(b"*5\r\n").map(|_| 4)?;
+        // The command name, the key, the id and the metadata precede the value.
+        for _ in 0..4 {
+            position = end_of_bulk_string(header, position)?;
+        }
+        let length = end_of_bulk_string(header, position).filter(|&length| length <= MAX_FRAME_BYTES)?;
+        Some(AnnouncedWrite { length, header_length: position })
+    }
+
+    /// Parses the write at the start of `buffer`, with an empty value in place of the announced one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the arguments before the value are invalid.
+    pub(crate) fn request_without_value(&self, buffer: &[u8]) -> Result<ClientRequest, ClientCommandError> {
+        let mut frame = BytesMut::from(buffer.get(..self.header_length).unwrap_or_default());
+        frame.extend_from_slice(EMPTY_BULK_STRING);
+        let frame = decode_frame(&mut frame, MAX_FRAME_BYTES).ok().flatten();
+        let arguments = frame.and_then(|frame| into_arguments(frame).ok());
+        parse_command(&arguments.ok_or(ClientCommandError::WrongArguments)?)
     }
-    end_of_bulk_string(header, position).filter(|&length| length <= MAX_FRAME_BYTES)
 }
 
 /// The position after the bulk string that starts at `position`, according to its announced length.
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -27,9 +27,9 @@
 use session::Session;
 
 use crate::client_limits::ClientLimits;
+use crate::memory_budget::MemoryBudget;
 use crate::message::{Message, SharedSettings};
 use crate::metrics::Metrics;
-use crate::relay::MemoryBudget;
 use crate::shutdown::ShutdownSchedule;
 use crate::stall::StallMonitor;
 
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -12,8 +12,9 @@
 use tokio::time::Instant;
 
 use crate::invariants::{ANSWER_SLACK, Invariant, Violations};
+use crate::memory_budget::MemoryPermit;
 use crate::metrics::InFlightGuard;
-use crate::relay::{MemoryPermit, ValueStream};
+use crate::relay::ValueStream;
 use crate::request::Response;
 
 /// The ids of the open requests of all connections, as the clients gave them.
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -1,6 +1,7 @@
 //! A session serves one client connection: it reads the commands and writes the replies.
 
 mod commands;
+mod memory;
 mod replies;
 
 use std::io;
@@ -13,20 +14,19 @@
 use tracing::{debug, trace};
 
 use super::SessionContext;
-use super::command::announced_length;
 use super::disconnect::{UnreadTracker, disconnected, linger};
 use super::idle::{IdleSlot, IdleState};
 use super::pending_replies::{PendingReplies, PendingReply};
 use crate::client_status::ClientStatus;
 use crate::invariants::Invariant;
+use crate::memory_budget::MemoryPermit;
 use crate::message::Message;
-use crate::relay::{CHUNK_BYTES, MAX_BUFFERED_BYTES, MemoryPermit};
+use crate::relay::CHUNK_BYTES;
+use memory::{DiscardedCommand, MemoryWait};
 
 /// The size up to which every connection may have a read buffer, in bytes. A larger buffer needs a permit of the memory
 /// budget.
 const SMALL_BUFFER_BYTES: usize = 8 << 10;
-/// The size of the buffer for a large command whose length is not known from its header, in bytes.
-const UNANNOUNCED_BUFFER_BYTES: usize = 2 * MAX_BUFFERED_BYTES;
 /// A connection that does not send a valid command for this long is closed.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long pending replies may delay the close of the connection after a malformed command.
@@ -59,8 +59,6 @@
     reads: bool,
     /// Whether there is memory to read into; if not, a permit is needed first.
     has_buffer: bool,
-    /// The size of the buffer that a permit is needed for, in bytes.
-    wanted_bytes: usize,
     /// Whether the socket is watched for a disconnect, which is needed while nothing is read from it.
     watches_disconnect: bool,
     may_time_out: bool,
@@ -74,6 +72,10 @@
     buffer: BytesMut,
     /// The permit for a buffer larger than [`SMALL_BUFFER_BYTES`].
     buffer_permit: Option<MemoryPermit>,
+    /// The wait for that permit, while there is one.
+    memory_wait: Option<MemoryWait>,
+    /// The command that is being discarded, because there was no memory for it.
+    discarded: Option<DiscardedCommand>,
     /// For a large buffer: the number of bytes in it when the client's timeout last started.
     progress_bytes: usize,
     /// The earliest time at which the bytes of the last read may have arrived.
@@ -87,7 +89,8 @@
     /// Whether the client has ever sent a request, rather than only a `PING`.
     has_sent_request: bool,
     /// When the client's timeout last started: with the connection, after a reply, at the first byte of a command, when
-    /// a command was taken from the buffer, when a large value made progress, or when a large buffer became available.
+    /// a command was taken from the buffer, when a large value made progress, or when a wait for a large buffer began or the
+    /// client sent more in it.
     timeout_started_at: Instant,
     /// Whether the buffer may hold another complete command, which the next iteration starts.
     may_have_more: bool,
@@ -103,6 +106,8 @@
             status: ClientStatus::default(),
             buffer: BytesMut::new(),
             buffer_permit: None,
+            memory_wait: None,
+            discarded: None,
             progress_bytes: 0,
             received_at: now,
             read_at: now,
@@ -162,7 +167,6 @@
     /// Reads commands and writes replies until the connection is to be closed.
     async fn serve(&mut self, socket: &Socket) -> io::Result<CloseReason> {
         let closing = self.context.closing.clone();
-        let budget = self.context.budget.clone();
         let mut slot = None;
         loop {
             let shutting_down = closing.used.is_cancelled();
@@ -171,6 +175,7 @@
                 return Ok(close_reason);
             }
             self.update_idle_slot(&mut slot);
+            self.update_memory_wait(shutting_down);
             let guards = self.select_guards(shutting_down);
             tokio::select! {
                 biased;
@@ -184,8 +189,8 @@
                 () = disconnected(socket, &mut self.unread), if guards.watches_disconnect => {
                     return Ok(CloseReason::ClosedByClient);
                 }
-                Ok(permit) = budget.reserve(guards.wanted_bytes), if guards.reads && !guards.has_buffer => {
-                    self.grow_buffer(guards.wanted_bytes, permit);
+                event = MemoryWait::next_event(&mut self.memory_wait), if self.memory_wait.is_some() => {
+                    self.on_memory_wait_event(socket, event)?;
                 }
                 reply = self.pending.next(), if guards.has_pending_replies => {
                     self.write_reply(socket, reply).await?;
@@ -234,7 +239,7 @@
             return Some(CloseReason::Malformed);
         }
         let closes = shutting_down && self.has_sent_request || self.context.closing.unused.is_cancelled();
-        (closes && self.buffer.is_empty()).then_some(CloseReason::ShuttingDown)
+        (closes && !self.has_partial_command()).then_some(CloseReason::ShuttingDown)
     }
 
     /// Registers the connection for eviction with its current state, or removes the registration if a reply is pending.
@@ -246,41 +251,48 @@
     }
 
     fn idle_state(&self) -> IdleState {
-        match (self.buffer.is_empty(), self.has_sent_request) {
-            (false, _) => IdleState::Sending,
-            (true, true) => IdleState::BetweenRequests,
-            (true, false) => IdleState::Unused,
+        match (self.has_partial_command(), self.has_sent_request) {
+            (true, _) => IdleState::Sending,
+            (false, true) => IdleState::BetweenRequests,
+            (false, false) => IdleState::Unused,
         }
     }
 
     /// Determines what the next iteration waits for.
     fn select_guards(&self, shutting_down: bool) -> SelectGuards {
         let all_replied = self.pending.is_empty();
-        // During a shutdown no command is read while replies are pending, since a client that always has a request open
-        // would keep the node running until it is killed. The client repeats what was not read on another connection.
-        let reads = self.may_start_command() && !self.may_have_more && (!shutting_down || all_replied);
-        let has_buffer = self.buffer.len() < SMALL_BUFFER_BYTES || self.buffer_permit.is_some();
-        let wanted_bytes =
-            if has_buffer { 0 } else { announced_length(&self.buffer).unwrap_or(UNANNOUNCED_BUFFER_BYTES) };
+        let has_buffer = self.has_buffer();
+        let reads = self.reads(shutting_down);
         SelectGuards {
             has_pending_replies: !all_replied,
             shutting_down,
             reads,
             has_buffer,
-            wanted_bytes,
             watches_disconnect: !(self.may_have_more || reads && has_buffer),
             may_time_out: self.may_time_out(),
             times_out_at: self.times_out_at(),
         }
     }
 
+    /// Whether the session reads from its connection.
+    ///
+    /// During a shutdown no command is read while replies are pending, since a client that always has a request open
+    /// would keep the node running until it is killed. The client repeats what was not read on another connection.
+    fn reads(&self, shutting_down: bool) -> bool {
+        let may_read = self.discarded.is_some() || self.may_start_command();
+        may_read && !self.may_have_more && (!shutting_down || self.pending.is_empty())
+    }
+
+    /// Whether the client has sent a part of a command.
+    fn has_partial_command(&self) -> bool {
+        !self.buffer.is_empty() || self.discarded.is_some()
+    }
+
     /// Whether the timeout of the client is running: after a malformed command; and, while no reply is pending, before
-    /// the first valid command and while a command is incomplete, unless the client has to wait for the node to get a
-    /// buffer.
+    /// the first valid command and while a command is incomplete.
     fn may_time_out(&self) -> bool {
-        let waits_for_buffer = self.buffer.len() >= SMALL_BUFFER_BYTES && self.buffer_permit.is_none();
-        let sends_nothing = self.pending.is_empty() && (!self.has_sent_command || !self.buffer.is_empty());
-        self.malformed_at.is_some() || sends_nothing && !waits_for_buffer
+        let sends_nothing = self.pending.is_empty() && (!self.has_sent_command || self.has_partial_command());
+        self.malformed_at.is_some() || sends_nothing
     }
 
     fn times_out_at(&self) -> Instant {
@@ -292,6 +304,10 @@
         let now = Instant::now();
         self.received_at = self.unread.earliest_arrival(socket);
         self.read_at = now;
+        if self.discarded.is_some() {
+            self.discard_read_bytes();
+            return;
+        }
         if self.has_sent_command && read == self.buffer.len() {
             self.timeout_started_at = now; // the first bytes of a command
         }
@@ -301,14 +317,6 @@
             self.progress_bytes = self.buffer.len();
         }
     }
-
-    /// Enlarges the buffer for a command that does not fit in a small one.
-    fn grow_buffer(&mut self, wanted_bytes: usize, permit: MemoryPermit) {
-        self.buffer.reserve(wanted_bytes.saturating_sub(self.buffer.len()));
-        self.buffer_permit = Some(permit);
-        self.progress_bytes = self.buffer.len();
-        self.timeout_started_at = Instant::now(); // the client was waiting for the node's memory until now
-    }
 }
 
 /// Whether the client, rather than the node, ended a connection.
--- a/crates/node/src/clients/session/commands.rs
+++ b/crates/node/src/clients/session/commands.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 use tracing::trace;
 
-use super::{SMALL_BUFFER_BYTES, Session, UNANNOUNCED_BUFFER_BYTES};
+use super::memory::UNANNOUNCED_BUFFER_BYTES;
+use super::{SMALL_BUFFER_BYTES, Session};
 use crate::clients::command::{ClientCommandError, into_arguments, parse_command};
 use crate::clients::pending_replies::{
     OpenRequestId, PendingReply, ReplyDeadline, RequestMemory, UnansweredRequest,
@@ -57,6 +58,9 @@
 
     /// Starts the complete commands in the buffer, up to [`MAX_COMMANDS_PER_TURN`].
     pub(super) fn start_commands(&mut self) {
+        if self.discarded.is_some() {
+            return;
+        }
         let before = self.buffer.len();
         self.may_have_more = self.start_some_commands();
         if self.buffer.is_empty() {
@@ -102,7 +106,7 @@
             _ => parse_command(arguments).and_then(|request| self.start_request(request, length)),
         };
         self.has_sent_command |= reply.is_ok();
-        reply.unwrap_or_else(|error| PendingReply::Ready(BytesFrame::Error(format!("ERR {error}").into())))
+        reply.unwrap_or_else(error_reply)
     }
 
     /// Sends a request, whose command had `length` bytes, to the driver.
@@ -111,11 +115,7 @@
         request: ClientRequest,
         length: usize,
     ) -> Result<PendingReply, ClientCommandError> {
-        // Servers would reject a class that is not in the settings. A request that names no class is served.
-        let is_unknown = |class: &str| !self.context.settings.borrow().class_names.contains(class);
-        if request.class_name().is_some_and(is_unknown) {
-            return Err(ClientCommandError::UnknownClass);
-        }
+        self.check_class(&request)?;
         if self.pending.open_requests() >= MAX_OPEN_REQUESTS {
             return Ok(self.reject_excess(&request));
         }
@@ -149,6 +149,28 @@
         }))
     }
 
+    /// Rejects a class that is not in the settings, as servers would. A request that names no class is served.
+    fn check_class(&self, request: &ClientRequest) -> Result<(), ClientCommandError> {
+        let is_unknown = |class: &str| !self.context.settings.borrow().class_names.contains(class);
+        if request.class_name().is_some_and(is_unknown) {
+            return Err(ClientCommandError::UnknownClass);
+        }
+        Ok(())
+    }
+
+    /// The reply to a write that was discarded for want of memory.
+    pub(super) fn reject_discarded(
+        &mut self,
+        request: Result<ClientRequest, ClientCommandError>,
+    ) -> PendingReply {
+        let reply = request.and_then(|request| {
+            self.check_class(&request)?;
+            Ok(self.reject_excess(&request))
+        });
+        self.has_sent_command |= reply.is_ok();
+        reply.unwrap_or_else(error_reply)
+    }
+
     /// Counts and logs the arrival of a request.
     fn record_arrival(&self, request: &ClientRequest) {
         let metrics = &self.context.metrics;
@@ -163,8 +185,8 @@
         }
     }
 
-    /// Rejects a request of a connection that already has [`MAX_OPEN_REQUESTS`] open. The request is not opened, so its
-    /// client may retry it safely. The driver decides how long the client should wait.
+    /// Rejects a request that the connection has no room for: it already has [`MAX_OPEN_REQUESTS`] open, or there was no
+    /// memory for its command. The request is not opened, so its client may retry it safely. The driver decides how long the client should wait.
     fn reject_excess(&mut self, request: &ClientRequest) -> PendingReply {
         let (sender, response) = oneshot::channel();
         let class = request.class_name().map(str::to_owned);
@@ -174,3 +196,8 @@
         PendingReply::Rejection(response)
     }
 }
+
+/// The reply to a command that cannot be executed.
+fn error_reply(error: ClientCommandError) -> PendingReply {
+    PendingReply::Ready(BytesFrame::Error(format!("ERR {error}").into()))
+}
--- a/crates/node/src/clients/session/tests.rs
+++ b/crates/node/src/clients/session/tests.rs
@@ -13,9 +13,9 @@
 use super::*;
 use crate::client_limits::ClientLimits;
 use crate::clients::{ClientContext, ClosingTokens};
+use crate::memory_budget::MemoryBudget;
 use crate::message::{DiscoverySettings, SharedSettings};
 use crate::metrics::Metrics;
-use crate::relay::MemoryBudget;
 use crate::stall::StallMonitor;
 
 const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -15,8 +15,8 @@
 use crate::client_limits::ClientLimits;
 use crate::handover;
 use crate::membership::MembershipConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::operator::MAX_CONNECTIONS as OPERATOR_CONNECTIONS;
-use crate::relay::MemoryBudget;
 use crate::shared::ReplicatedState;
 use crate::transient::{TransientError, retry_transient_blocking};
 
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -27,10 +27,10 @@
 use open_request::OpenRequest;
 
 use crate::config::NodeConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::message::{Control, Message};
 use crate::metrics::Metrics;
 use crate::overrides::Overrides;
-use crate::relay::MemoryBudget;
 use crate::request::Response;
 use crate::shared::SharedEndpoints;
 use crate::stall::StallMonitor;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hollow;
 mod invariants;
 pub mod membership;
+mod memory_budget;
 mod message;
 mod metrics;
 mod operator;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,14 +1,15 @@
-//! Relays large values from a server to a client in chunks, within one memory budget.
+//! Relays large values from a server to a client in chunks, within the memory budget.
 
 use std::io;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::memory_budget::{MIN_CHUNK_BYTES, MemoryBudget, MemoryPermit};
+
 /// The largest value that is accepted, in bytes.
 pub(crate) const MAX_VALUE_BYTES: usize = 4 << 20;
 /// The largest value that is read completely and checked before it is passed on, in bytes.
@@ -20,46 +21,16 @@
 /// The largest command or reply, in bytes: a value and up to 4 KiB around it.
 pub(crate) const MAX_FRAME_BYTES: usize = MAX_VALUE_BYTES + (4 << 10);
 
-/// A reserved part of the memory budget, returned to it on drop.
-pub(crate) type MemoryPermit = OwnedSemaphorePermit;
-
-/// The memory that values in transit may occupy, to and from clients together. Clones share one budget.
-#[derive(Clone)]
-pub(crate) struct MemoryBudget(Arc<Semaphore>);
-
 impl MemoryBudget {
-    /// Creates a budget of `bytes`, or of [`MAX_FRAME_BYTES`] if that is more.
-    pub(crate) fn new(bytes: usize) -> MemoryBudget {
-        MemoryBudget(Arc::new(Semaphore::new(bytes.max(MAX_FRAME_BYTES))))
+    /// Makes chunks of bytes that have been read already. They are larger than [`MIN_CHUNK_BYTES`] only if there is
+    /// memory for them.
+    pub(crate) fn next_chunk(&self, bytes: &mut Bytes) -> Chunk {
+        let (size, permit) = self.chunk_size(bytes.len());
+        Chunk { bytes: bytes.split_to(size), _permit: permit }
     }
 
-    /// Waits until `bytes` are free and reserves them, for a value that has to be buffered completely. Reservations are
-    /// made in the order of the calls.
-    ///
-    /// # Errors
-    ///
-    /// Fails only if the budget is closed, which never happens.
-    pub(crate) async fn reserve(&self, bytes: usize) -> io::Result<MemoryPermit> {
-        self.0.clone().acquire_many_owned(bytes as u32).await.map_err(io::Error::other)
-    }
-
-    /// Waits until a chunk of this size is free and reserves it. This cannot deadlock: the holder of a chunk passes it
-    /// on or drops it in bounded time, and none waits for a second chunk while it holds one.
-    async fn reserve_chunk(&self, bytes: usize) -> io::Result<MemoryPermit> {
-        self.reserve(bytes.min(CHUNK_BYTES)).await
-    }
-
-    /// Makes a chunk of bytes that have been read already, once the budget has room for it.
-    ///
-    /// # Errors
-    ///
-    /// Fails only if the budget is closed, which never happens.
-    pub(crate) async fn chunk(&self, bytes: Bytes) -> io::Result<Chunk> {
-        let permit = self.reserve_chunk(bytes.len()).await?;
-        Ok(Chunk { bytes, _permit: permit })
-    }
-
-    /// Reads the next chunk of a value of which `remaining` bytes are missing. Returns `None` at the end of the stream.
+    /// Reads the next chunk of a value of which `remaining` bytes are missing, without waiting for memory. Returns
+    /// `None` at the end of the stream.
     ///
     /// # Errors
     ///
@@ -69,18 +40,30 @@
         from: &mut (impl AsyncRead + Unpin),
         remaining: usize,
     ) -> io::Result<Option<Chunk>> {
-        let size = remaining.min(CHUNK_BYTES);
-        let permit = self.reserve_chunk(size).await?;
+        let (size, permit) = self.chunk_size(remaining);
         let mut buffer = BytesMut::with_capacity(size);
         let read = timeout(PROGRESS_TIMEOUT, from.read_buf(&mut (&mut buffer).limit(size))).await??;
         Ok((read > 0).then(|| Chunk { bytes: buffer.freeze(), _permit: permit }))
     }
+
+    /// The size of the next chunk of `remaining` bytes, and the permit for it if it is more than [`MIN_CHUNK_BYTES`].
+    fn chunk_size(&self, remaining: usize) -> (usize, Option<MemoryPermit>) {
+        let size = remaining.min(CHUNK_BYTES);
+        if size <= MIN_CHUNK_BYTES {
+            return (size, None);
+        }
+        match self.try_reserve_chunk(size) {
+            Some(permit) => (size, Some(permit)),
+            None => (MIN_CHUNK_BYTES, None),
+        }
+    }
 }
 
 /// A part of a value, counted in the budget until it is dropped.
 pub(crate) struct Chunk {
     pub(crate) bytes: Bytes,
-    _permit: MemoryPermit,
+    /// `None` for a chunk of at most [`MIN_CHUNK_BYTES`].
+    _permit: Option<MemoryPermit>,
 }
 
 /// The receiving end of a value in transit.
@@ -93,6 +76,16 @@
 /// The sending end of a value in transit. If it is dropped before the last chunk, the value is incomplete.
 pub(crate) struct ValueSink(mpsc::Sender<Chunk>);
 
+/// Room for one chunk in the channel of a value in transit.
+pub(crate) struct ChunkSlot<'a>(mpsc::Permit<'a, Chunk>);
+
+impl ChunkSlot<'_> {
+    /// Sends a chunk.
+    pub(crate) fn send(self, chunk: Chunk) {
+        self.0.send(chunk);
+    }
+}
+
 /// The error that the receiver of a value has dropped its stream.
 #[derive(Debug)]
 pub(crate) struct ReceiverDropped;
@@ -104,13 +97,14 @@
 }
 
 impl ValueSink {
-    /// Sends a chunk, waiting while another one is buffered.
+    /// Waits while a chunk is buffered. A chunk is read only once there is a slot for it, so that a value whose
+    /// receiver does not take it has one chunk in memory, besides the one that is being written.
     ///
     /// # Errors
     ///
     /// Fails if the receiver has dropped its stream.
-    pub(crate) async fn send(&self, chunk: Chunk) -> Result<(), ReceiverDropped> {
-        self.0.send(chunk).await.map_err(|_| ReceiverDropped)
+    pub(crate) async fn slot(&self) -> Result<ChunkSlot<'_>, ReceiverDropped> {
+        self.0.reserve().await.map(ChunkSlot).map_err(|_| ReceiverDropped)
     }
 
     /// Waits until the receiver has dropped its stream.
@@ -125,7 +119,7 @@
         let (sender, chunks) = mpsc::channel(1);
         let length = bytes.len();
         // Succeeds, since the channel is empty and has room for one chunk.
-        let _ = sender.try_send(Chunk { bytes, _permit: permit });
+        let _ = sender.try_send(Chunk { bytes, _permit: Some(permit) });
         ValueStream { length, chunks }
     }
 
--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -9,7 +9,7 @@
 
 use super::*;
 use crate::client_status::ClientStatus;
-use crate::relay::MemoryBudget;
+use crate::memory_budget::MemoryBudget;
 use crate::stall::StallMonitor;
 use crate::upstream::send_permit::{SendConditions, SendPermit, ServingFlag};
 
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -12,10 +12,10 @@
 use super::attempt::AttemptResult;
 use super::cache_protocol::{ReplyStart, command_header, parse_reply, take_reply_start};
 use super::send_permit::{SendPermit, StatedTime};
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::relay::{
-    Chunk, MAX_BUFFERED_BYTES, MemoryBudget, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueSink,
-    value_channel,
+    Chunk, MAX_BUFFERED_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueSink, value_channel,
 };
 use crate::request::ClientRequest;
 
@@ -123,25 +123,27 @@
         let (sink, stream) = value_channel(length);
         let mut start = Some((on_start, stream));
         // `first` is shorter than the value, so it has no bytes of the reply's end.
+        let mut first = first;
         let mut remaining = length;
-        let mut first = Some(first).filter(|bytes| !bytes.is_empty());
         loop {
-            let chunk = match first.take() {
-                Some(bytes) => budget.chunk(bytes).await.map_err(|_| Outcome::ConnectionReset)?,
-                None => self.read_chunk(&budget, &sink, remaining).await?,
+            let slot = sink.slot().await.map_err(|ReceiverDropped| Outcome::Canceled)?;
+            let chunk = if first.is_empty() {
+                self.read_chunk(&budget, &sink, remaining).await?
+            } else {
+                budget.next_chunk(&mut first)
             };
             remaining -= chunk.bytes.len();
             if let Some((on_start, stream)) = start.take() {
                 on_start(stream);
             }
             if remaining > 0 {
-                sink.send(chunk).await.map_err(|ReceiverDropped| Outcome::Canceled)?;
+                slot.send(chunk);
                 continue;
             }
             // The last chunk is passed on only after the end of the reply has been checked, since the client could not
             // detect a malformed end by itself.
             let result = self.read_envelope_end().await?;
-            sink.send(chunk).await.map_err(|ReceiverDropped| Outcome::Canceled)?;
+            slot.send(chunk);
             return Ok(result);
         }
     }
--- a/crates/node/src/upstream/origin_connection.rs
+++ b/crates/node/src/upstream/origin_connection.rs
@@ -195,7 +195,8 @@
             return Err(Outcome::ServerError);
         }
         if length > MAX_BUFFERED_BYTES && permit.is_none() {
-            permit = Some(relay.budget.reserve(MAX_VALUE_BYTES).await.map_err(|_| Outcome::ConnectionReset)?);
+            let reserved = relay.budget.reserve_largest_value().await;
+            permit = Some(reserved.map_err(|_| Outcome::ConnectionReset)?);
             buffer.reserve(MAX_VALUE_BYTES - buffer.len());
         }
         buffer.extend_from_slice(&bytes);
@@ -229,12 +230,12 @@
         let Ok(mut bytes) = frame.into_data() else { continue };
         remaining = remaining.checked_sub(bytes.len()).ok_or(Outcome::ServerError)?;
         while !bytes.is_empty() {
-            let part = bytes.split_to(bytes.len().min(CHUNK_BYTES));
-            let chunk = budget.chunk(part).await.map_err(|_| Outcome::ConnectionReset)?;
+            let slot = sink.slot().await.map_err(|ReceiverDropped| Outcome::Canceled)?;
+            let chunk = budget.next_chunk(&mut bytes);
             if let Some((on_start, stream)) = start.take() {
                 on_start(stream);
             }
-            sink.send(chunk).await.map_err(|ReceiverDropped| Outcome::Canceled)?;
+            slot.send(chunk);
         }
     }
     Ok(AttemptResult::of(Outcome::Success))
