Connections rest for 15 ms, so that a late second copy of a reply is seen, not served

What callers saw: the value of another client's key, where a cache sent a second copy of its reply 2 to 6 ms late. The connection was off by one from then on.

Cause: replies carry no id, and a connection was used again 1 ms after its last reply. A copy that crossed with the next request was taken for that one's reply.

Change: a connection rests for 15 ms. A copy that comes meanwhile shows when the connection is looked at before its next use, which closes it. svc_reused_soon_total counts uses within 20 ms.

--- a/crates/node/src/upstream/directory/idle_pool.rs
+++ b/crates/node/src/upstream/directory/idle_pool.rs
@@ -8,12 +8,14 @@
 use crate::metrics::Metrics;
 use crate::upstream::connection::ServerConnection;
 
-/// A connection is not reused before it has been idle for this long. In that time the node notices a close or
-/// unsolicited bytes that the server sent right after its reply.
-const MIN_IDLE_TIME: Duration = Duration::from_millis(1);
+/// A connection is not reused before it has been idle for this long. Replies carry no id, so a second copy of the last
+/// one, which servers send up to some milliseconds later, would be taken for the reply to the next request. In this
+/// time the node notices it, as well as a close.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(15);
 
-/// A second copy of the last reply may still arrive on a connection that has been idle for less than this.
-const DUPLICATE_REPLY_WINDOW: Duration = Duration::from_millis(10);
+/// A reuse of a connection that has been idle for less than this counts as early: a second copy of the last reply that is
+/// exceptionally late could still arrive.
+const EARLY_REUSE_TIME: Duration = Duration::from_millis(20);
 
 /// A connection between requests.
 struct IdleConnection {
@@ -44,7 +46,7 @@
         while let Some(index) = self.0.iter().rposition(|idle| now >= idle.since + MIN_IDLE_TIME) {
             let idle = self.0.remove(index);
             if now < idle.since + max_idle_time && is_reusable(server, &idle, now, metrics) {
-                if now < idle.since + DUPLICATE_REPLY_WINDOW {
+                if now < idle.since + EARLY_REUSE_TIME {
                     metrics.early_reuses.increment();
                 }
                 return Some(idle.connection);
