Reload: a file that lacks any key of the settings in force is rejected, at any depth

What callers saw: after a reload of a file without DedupScope of a class, keyed writes ran in several zones. Without FamilyInfo.Mode every write was refused.

Cause: only the keys of four objects were compared with those in force; a key that was missing elsewhere took its default. The default of a keyed class's scope, as of any unknown text, was the widest one.

Change: config/completeness.rs compares keys at any depth of the settings, and the limits; classes and tenants by name, new ones with the keys that all in force have. AimStretch and Prices.Fleet may be absent, as WIRE says.

Why it works: no default can stand in for a key that the file in force has, and what WIRE lists for a keyed class has none at all.

Tests: each key of a complete document removed in turn; only the optional ones may go. Two tests used incomplete settings and now have complete ones: reload_of_an_invalid_file_is_rejected_and_counted and reload_replaces_classes_... added a class without Worth, which other classes had (the first has five more broken files, that one among them), and permits.rs had a keyed class without DedupScope, which it now states as all, as it was taken.

--- a/crates/balancer/src/settings_document.rs
+++ b/crates/balancer/src/settings_document.rs
@@ -188,19 +188,27 @@
 
 /// The idempotency of a class by the document.
 fn idempotency(class: &ClassDocument) -> Result<Idempotency, SettingsError> {
-    let scope = match class.dedup_scope.as_str() {
-        "zone" => DeduplicationScope::Zone,
-        "cell" => DeduplicationScope::Cell,
-        _ => DeduplicationScope::All,
-    };
     match class.effect.as_str() {
         "safe" => Ok(Idempotency::Idempotent),
-        "keyed" => Ok(Idempotency::Keyed { scope, window: micros_from_millis(class.window) }),
+        "keyed" => {
+            let scope = deduplication_scope(class)?;
+            Ok(Idempotency::Keyed { scope, window: micros_from_millis(class.window) })
+        }
         "unsafe" => Ok(Idempotency::NonIdempotent),
         other => Err(SettingsError::UnknownEffect(other.into())),
     }
 }
 
+/// Which servers discard repeats of a keyed class.
+fn deduplication_scope(class: &ClassDocument) -> Result<DeduplicationScope, SettingsError> {
+    match class.dedup_scope.as_str() {
+        "all" => Ok(DeduplicationScope::All),
+        "zone" => Ok(DeduplicationScope::Zone),
+        "cell" => Ok(DeduplicationScope::Cell),
+        other => Err(SettingsError::UnknownScope { class: class.name.clone(), scope: other.into() }),
+    }
+}
+
 /// Sets the value at an index, which is at most the number of values.
 fn set_or_push<T>(values: &mut Vec<T>, index: usize, value: T) {
     match values.get_mut(index) {
--- a/crates/balancer/src/settings_document/document.rs
+++ b/crates/balancer/src/settings_document/document.rs
@@ -149,6 +149,14 @@
     /// A class has an unknown effect.
     #[error("unknown effect {0:?} of a class")]
     UnknownEffect(String),
+    /// A keyed class does not state which servers discard repeats.
+    #[error("class {class:?}: unknown deduplication scope {scope:?}")]
+    UnknownScope {
+        /// The name of the class.
+        class: String,
+        /// What the document states, or nothing.
+        scope: String,
+    },
     /// There is no class.
     #[error("the settings have no class")]
     NoClass,
--- a/crates/cli/tests/operation.rs
+++ b/crates/cli/tests/operation.rs
@@ -339,7 +339,7 @@
     let fixture = Fixture::new();
     let node = fixture.start_node();
     let good = node.config();
-    let class = r#"{"Name":"new","Aim":300.0,"HardLimit":2000.0,"Effect":"safe"}"#;
+    let class = r#"{"Name":"new","Aim":300.0,"HardLimit":2000.0,"Effect":"safe","Worth":1.0}"#;
     let with_class = |class: &str| good.replace("\"Classes\":[", &format!("\"Classes\":[{class},"));
     let broken = [
         String::new(),
@@ -358,6 +358,8 @@
         good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":null"),
         good.replace("\"MaxAttempts\":5", "\"MaxAttempts\":\"many\""),
         good.replace("\"DrainGrace\":500.0,", ""),
+        good.replace("\"Mode\":\"aside\",", ""),
+        good.replace(",\"Worth\":9.0", ""),
         with_class(&class.replace("2000.0", "0")),
         with_class(&class.replace("2000.0", "-5.0")),
         with_class(&class.replace("2000.0", "null")),
@@ -366,6 +368,9 @@
         with_class(&class.replace("\"Aim\":300.0,", "")),
         with_class(&class.replace("\"Effect\":\"safe\"", "\"Effect\":\"odd\"")),
         with_class(&class.replace(",\"Effect\":\"safe\"", "")),
+        with_class(&class.replace(",\"Worth\":1.0", "")),
+        with_class(&class.replace("safe", "keyed")),
+        with_class(&class.replace("\"safe\"", "\"keyed\",\"DedupScope\":\"region\"")),
         with_class(&class.replace("new", "read")),
         with_class(&class.replace("new", "")),
         with_class(class).replace("{\"name\"", "{\"discovery\":\"nowhere\",\"name\""),
@@ -394,7 +399,7 @@
     client.send_get("k", "c=put,d=15000"); // non-idempotent: never sent twice
     let open = fixture.cache.next_call();
     let put = r#"{"Name":"put","Aim":800.0,"HardLimit":2000.0,"Effect":"unsafe","Worth":9.0}"#;
-    let scan = r#"{"Name":"scan","Aim":300.0,"HardLimit":2000.0,"Effect":"safe"}"#;
+    let scan = r#"{"Name":"scan","Aim":300.0,"HardLimit":2000.0,"Effect":"safe","Worth":3.0}"#;
     let read = r#"{"Name":"read","Aim":300.0,"HardLimit":2000.0,"Effect":"safe","Worth":3.0},"#;
     let config = node.config();
     assert!(config.contains(put) && config.contains(read));
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -37,7 +37,8 @@
 /// it comes up only after the window.
 #[test]
 fn retry_is_not_sent_once_the_deduplication_window_has_passed() {
-    let keyed = format!(r#""Effect":"keyed","Window":{}.0"#, DEDUPLICATION_WINDOW.as_millis());
+    let keyed =
+        format!(r#""Effect":"keyed","DedupScope":"all","Window":{}.0"#, DEDUPLICATION_WINDOW.as_millis());
     let settings = SETTINGS
         .replace(r#""Effect":"unsafe""#, &keyed)
         .replace(r#""ConnectTimeout":10000.0"#, r#""ConnectTimeout":600000.0"#);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a node, read from the environment and from the JSON document that it names.
 
+mod completeness;
 mod document;
 mod source;
 
--- a/crates/node/src/config/document.rs
+++ b/crates/node/src/config/document.rs
@@ -9,9 +9,6 @@
 
 use super::ConfigError;
 
-/// JSON pointers to the objects whose keys must all be present in a reloaded document again.
-const COMPLETE_OBJECTS: [&str; 4] = ["", "/settings", "/settings/Limits", "/settings/Guarantees"];
-
 /// The document in the platform's format.
 #[derive(Deserialize)]
 pub(super) struct PlatformDocument {
@@ -64,13 +61,3 @@
     parse_seed(document.seed)?;
     ResolvedSettings::try_from(document.settings).map(drop).map_err(ConfigError::Settings)
 }
-
-/// The path of the first key that an object of [`COMPLETE_OBJECTS`] has in the document in force and lacks in a new
-/// one.
-pub(super) fn missing_key(current: &Value, new: &Value) -> Option<String> {
-    COMPLETE_OBJECTS.into_iter().find_map(|object| {
-        let keys = current.pointer(object)?.as_object()?.keys();
-        let is_present = |key: &&String| new.pointer(object).is_some_and(|new| new.get(key).is_some());
-        keys.into_iter().find(|key| !is_present(key)).map(|key| format!("{object}/{key}"))
-    })
-}
--- a/crates/node/src/config/source.rs
+++ b/crates/node/src/config/source.rs
@@ -8,7 +8,8 @@
 use stonefold_balancer::settings_document::SettingsDocument;
 
 use super::ConfigError;
-use super::document::{PlatformDocument, missing_key, read_json};
+use super::completeness::missing_key;
+use super::document::{PlatformDocument, read_json};
 
 /// Why a [`DocumentSource`] can't provide its document.
 pub type DocumentError = Box<dyn Error + Send + Sync>;
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -13,3 +13,23 @@
         assert_eq!(resolved.settings.max_poll_interval, Settings::default().max_poll_interval);
     }
 }
+
+/// Guards against keyed writes that are repeated at servers that do not discard repeats, because a scope that is missing
+/// or unknown counted as the widest one.
+#[test]
+fn keyed_class_must_state_which_servers_discard_repeats() {
+    for (scope, is_valid) in [
+        (r#","DedupScope":"all""#, true),
+        (r#","DedupScope":"zone""#, true),
+        (r#","DedupScope":"cell""#, true),
+        (r#","DedupScope":"region""#, false),
+        (r#","DedupScope":"""#, false),
+        ("", false),
+    ] {
+        let class =
+            format!(r#"{{"Name":"write","Aim":1,"HardLimit":2,"Effect":"keyed","Window":3000{scope}}}"#);
+        let document: SettingsDocument =
+            serde_json::from_str(&format!(r#"{{"Classes":[{class}]}}"#)).unwrap();
+        assert_eq!(ResolvedSettings::try_from(document).is_ok(), is_valid, "{scope}");
+    }
+}
