Origin: a second response is seen before its connection is used again, however it was held back

What callers saw (the users' own records; their cause is a supposition that fits each line and was reproduced): answers that no server had made for the request, non-idempotent writes that ran twice, and writes refused though they ran.

Cause: HTTP responses carry no id either. A second response that came behind the next request was taken for that one's; a rejection (503, not executed) so taken made the node send an executed write again, or refuse it. What the origin had sent on an idle connection was only seen once the HTTP library's task had run. And a copy can come late though it is sent early: a server without TCP_NODELAY holds a small segment back until the one before it is acknowledged, up to 40 ms on a connection used before.

Change: the state of the origin's socket in the kernel is looked at as that of a cache's is. A connection that becomes idle acknowledges at once what was received, so that a held copy comes within the rest of 15 ms.

Why it works: nothing of the last answer is outstanding when the rest begins to count, and whatever comes in the rest closes the connection. An answer later than the rest is still taken.

--- a/crates/cli/tests/second_replies.rs
+++ b/crates/cli/tests/second_replies.rs
@@ -3,6 +3,8 @@
 #[path = "common/fakes.rs"]
 mod fakes;
 
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +20,8 @@
     [Duration::from_millis(2), Duration::from_millis(4), Duration::from_millis(6)];
 /// No copy is sent later than this after a reply, however slow this machine is.
 const LATEST_COPY: Duration = Duration::from_millis(8);
+/// How long the origin executes a write: until after the latest copy.
+const EXECUTION_TIME: Duration = Duration::from_millis(20);
 
 fn sleep_until(at: Instant) {
     thread::sleep(at.saturating_duration_since(Instant::now()));
@@ -75,3 +79,71 @@
     };
     play_rounds(node.client(), &cache, send, reply);
 }
+
+fn http_reply(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn send_write(client: &mut Client, number: usize) {
+    client.send(&["CACHE.SET", &value(number), &format!("{number:016x}"), "c=put,d=60000", "v"]);
+}
+
+/// Guards against a late second copy of the origin's response that is served to the next request on the connection.
+#[test]
+fn second_copy_of_an_origin_response_is_not_served_to_the_next_request() {
+    let (cache, origin) = (FakeServer::cache(), FakeServer::http());
+    let node = Node::start(&server_list(41, &[(CACHE, cache.addr)], origin.addr), FakeServer::http().addr);
+    play_rounds(node.client(), &origin, send_write, |number| http_reply("200 OK", &value(number)));
+}
+
+/// An origin that rejects every other write unexecuted, each rejection with a late second copy, and executes the others.
+/// Returns how often it has executed each write.
+fn reject_every_other_write(origin: FakeServer) -> Arc<Mutex<HashMap<String, usize>>> {
+    let executed: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+    let counts = executed.clone();
+    thread::spawn(move || {
+        for round in 0.. {
+            let mut call = origin.next_call();
+            let counts = counts.clone();
+            thread::spawn(move || {
+                let key = call.words[1].trim_start_matches('/').to_owned();
+                let number: usize = key.trim_start_matches("value-").parse().unwrap();
+                if number.is_multiple_of(2) {
+                    let text = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+                    let replied = Instant::now();
+                    call.try_reply(text);
+                    send_copy(&mut call, replied + COPY_AFTER[round % COPY_AFTER.len()], text);
+                } else {
+                    *counts.lock().unwrap().entry(key.clone()).or_default() += 1;
+                    thread::sleep(EXECUTION_TIME);
+                    call.try_reply(&http_reply("200 OK", &key));
+                }
+            });
+        }
+    });
+    executed
+}
+
+/// Guards against a late second copy of a rejection that is taken for the rejection of the next write, which is executed:
+/// it was sent again, or its client was told that it had not run.
+#[test]
+fn second_copy_of_a_rejection_does_not_reject_the_next_write() {
+    let (cache, origin) = (FakeServer::cache(), FakeServer::http());
+    let node = Node::start(&server_list(41, &[(CACHE, cache.addr)], origin.addr), FakeServer::http().addr);
+    let executed = reject_every_other_write(origin);
+    let mut client = node.client();
+    let mut served = 0;
+    for number in 0..4 * ROUNDS {
+        send_write(&mut client, number);
+        let reply = client.read_reply().unwrap();
+        thread::sleep(NEXT_REQUEST_AFTER);
+        if number.is_multiple_of(2) {
+            continue;
+        }
+        let runs = executed.lock().unwrap().get(&value(number)).copied().unwrap_or(0);
+        let expected = usize::from(!reply.starts_with("-BUSY"));
+        assert_eq!(runs, expected, "executions of a write with the reply {reply}");
+        served += usize::from(reply == value(number));
+    }
+    assert!(served >= ROUNDS, "only {served} writes were served");
+}
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -92,6 +92,13 @@
         SockRef::from(&self.0).shutdown(Shutdown::Write)
     }
 
+    /// Acknowledges what was received at once, rather than after the system's delay of some 40 ms. A peer without
+    /// `TCP_NODELAY` sends no further small segment before.
+    pub fn acknowledge_now(&self) {
+        // Without effect where the system does not support it or the connection is broken.
+        let _ = SockRef::from(&self.0).set_tcp_quickack(true);
+    }
+
     /// Waits until the peer has sent something or closed its sending direction, without reading anything. Returns
     /// whether there are bytes to read.
     ///
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -47,6 +47,11 @@
         self.0.has_unread_bytes()
     }
 
+    /// Acknowledges what was received at once, see [`Socket::acknowledge_now`].
+    pub(crate) fn acknowledge_now(&self) {
+        self.0.acknowledge_now();
+    }
+
     /// Sends one request, which states the time left until `deadline`, and waits for the reply. Also returns the
     /// connection if another request may use it.
     pub(crate) async fn request(
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -29,12 +29,12 @@
         }
     }
 
-    /// Whether the server has sent bytes that no request asked for. For the origin this is always false: its HTTP
-    /// library closes a connection with such bytes.
+    /// Whether the server has sent bytes that no request asked for. Mostly false for the origin, since its HTTP library
+    /// reads such bytes at once and closes the connection.
     pub(crate) fn has_unsolicited_bytes(&self) -> bool {
         match self {
             ServerConnection::Cache(connection) => connection.has_unsolicited_bytes(),
-            ServerConnection::Origin(_) => false,
+            ServerConnection::Origin(connection) => connection.has_unsolicited_bytes(),
         }
     }
 
@@ -45,4 +45,13 @@
             ServerConnection::Origin(connection) => connection.is_reusable(),
         }
     }
+
+    /// Acknowledges what was received at once. A server without `TCP_NODELAY` holds a second copy of a reply back until
+    /// the reply is acknowledged, which would be after the time for which the connection stays idle.
+    pub(crate) fn acknowledge_now(&self) {
+        match self {
+            ServerConnection::Cache(connection) => connection.acknowledge_now(),
+            ServerConnection::Origin(connection) => connection.acknowledge_now(),
+        }
+    }
 }
--- a/crates/node/src/upstream/directory/idle_pool.rs
+++ b/crates/node/src/upstream/directory/idle_pool.rs
@@ -31,6 +31,7 @@
 impl IdlePool {
     /// Adds a connection whose last request ended at `now`.
     pub(crate) fn add(&mut self, now: Instant, connection: ServerConnection) {
+        connection.acknowledge_now();
         self.0.push(IdleConnection { since: now, connection });
     }
 
--- a/crates/node/src/upstream/last_write.rs
+++ b/crates/node/src/upstream/last_write.rs
@@ -24,15 +24,15 @@
     }
 }
 
-/// A socket that records its writes in a [`LastWrite`].
+/// A socket that records its writes in a [`LastWrite`]. Others that share the socket only look at its state.
 pub(crate) struct TimedSocket {
-    socket: Socket,
+    socket: Arc<Socket>,
     last_write: LastWrite,
 }
 
 impl TimedSocket {
     /// Wraps a socket.
-    pub(crate) fn new(socket: Socket, last_write: LastWrite) -> TimedSocket {
+    pub(crate) fn new(socket: Arc<Socket>, last_write: LastWrite) -> TimedSocket {
         TimedSocket { socket, last_write }
     }
 
@@ -47,42 +47,38 @@
 
 impl AsyncRead for TimedSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        Pin::new(&mut &*self.socket).poll_read(context, buffer)
     }
 }
 
 impl AsyncWrite for TimedSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut &*self.socket).poll_write(context, bytes);
         self.recorded(written)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write_vectored(context, slices);
+        let written = Pin::new(&mut &*self.socket).poll_write_vectored(context, slices);
         self.recorded(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        self.socket.as_ref().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.socket).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.socket).poll_shutdown(context)
     }
 }
--- a/crates/node/src/upstream/origin_connection.rs
+++ b/crates/node/src/upstream/origin_connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -50,6 +51,8 @@
 /// A connection to the origin, between requests.
 pub(crate) struct OriginConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// The socket, to look at its state. The task reads and writes it.
+    socket: Arc<Socket>,
     task: JoinHandle<()>,
     last_write: LastWrite,
 }
@@ -69,21 +72,33 @@
     /// Fails if the HTTP library cannot use the connection.
     pub(crate) async fn new(socket: Socket) -> io::Result<Self> {
         let last_write = LastWrite::default();
-        let socket = TimedSocket::new(socket, last_write.clone());
+        let socket = Arc::new(socket);
+        let timed_socket = TimedSocket::new(socket.clone(), last_write.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(CHUNK_BYTES)
-            .handshake(TokioIo::new(socket))
+            .handshake(TokioIo::new(timed_socket))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // a broken connection fails the request in flight
         });
-        Ok(OriginConnection { sender, task, last_write })
+        Ok(OriginConnection { sender, socket, task, last_write })
     }
 
-    /// Whether the connection is still open, so that another request can use it.
+    /// Whether the connection is open and the origin has sent nothing unsolicited. The task ends when it reads such
+    /// bytes; what it has not noticed yet shows in the state of the socket in the kernel.
     pub(crate) fn is_reusable(&self) -> bool {
-        !self.sender.is_closed()
+        !self.sender.is_closed() && self.socket.is_idle()
+    }
+
+    /// Whether the origin has sent bytes that no request asked for and the task has not read yet.
+    pub(crate) fn has_unsolicited_bytes(&self) -> bool {
+        self.socket.has_unread_bytes()
+    }
+
+    /// Acknowledges what was received at once, see [`Socket::acknowledge_now`].
+    pub(crate) fn acknowledge_now(&self) {
+        self.socket.acknowledge_now();
     }
 
     /// Sends one request, which states the time left until `deadline`, and waits for the response. Also returns the
