Test of discovery's return: hold the port while discovery is down

Change: a second socket, bound to the same port and not listening, holds it before the first one is closed, refuses connections meanwhile, and listens at the return. What the test asks is unchanged.

--- a/crates/node/src/discovery/tests/notification_deadline.rs
+++ b/crates/node/src/discovery/tests/notification_deadline.rs
@@ -1,11 +1,12 @@
 //! Tests that a change reaches the node within 6 s after discovery has it and can be reached, even if the poll in
 //! flight fails. Connections are real, tokio's clock is paused, and polls queue for 1.5 s at discovery.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -87,6 +88,17 @@
     }
 }
 
+/// The number of connections that wait to be accepted.
+const BACKLOG: u32 = 128;
+
+/// A socket at this address, which others of its kind may share. It refuses connections until it listens.
+fn shared_socket(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
+}
+
 async fn unused_listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
@@ -177,13 +189,15 @@
 #[tokio::test(start_paused = true)]
 async fn a_change_meets_the_deadline_after_discovery_was_down() {
     for case in cases() {
-        let mut harness = Harness::start(case).await;
+        let first = shared_socket(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+        let mut harness = Harness::start_at(case, first.listen(BACKLOG).unwrap());
         let stream = harness.accept_watch().await.0;
-        let address = harness.listener.local_addr().unwrap();
+        // Holds the port while discovery is down, since another program could take it.
+        let returning = shared_socket(harness.listener.local_addr().unwrap());
         drop(std::mem::replace(&mut harness.listener, unused_listener().await));
         reset(stream);
         sleep(Duration::from_secs(8)).await;
-        harness.listener = TcpListener::bind(address).await.unwrap();
+        harness.listener = returning.listen(BACKLOG).unwrap();
         harness.assert_notified(QUEUEING, Instant::now(), DEADLINE, case).await;
     }
 }
