Count commands that are dropped for want of memory, and say what the texts left out

Cause: a write dropped for want of memory showed only at level debug, and its rejection was logged as one for too many open requests.

No other behaviour changes.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -31,7 +31,8 @@
 
 fn start_node(cache: &FakeServer, origin: &FakeServer) -> Node {
     let known = server_list(41, &[(CACHE, cache.addr)], origin.addr);
-    NodeOptions { memory_mb: MEMORY_MB, ..NodeOptions::new(&known, FakeServer::http().addr) }.start()
+    let options = NodeOptions::new(&known, FakeServer::http().addr);
+    NodeOptions { memory_mb: MEMORY_MB, operator: true, ..options }.start()
 }
 
 /// A write whose id is its own.
@@ -146,6 +147,7 @@
         assert!(matches!(&reply, Outcome::Reply(text) if text.starts_with("-BUSY")), "{reply:?}");
         assert!(at - sent < REQUEST_TIME + ANSWER_SLACK, "the rejection came after {:?}", at - sent);
     }
+    assert_eq!(node.metric("svc_commands_discarded_total"), others as f64);
     assert!(origin.try_next_call().is_none(), "a rejected write has reached the origin");
     for call in calls {
         call.reply_http("200 OK", "stored");
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -89,8 +89,8 @@
     /// Whether the client has ever sent a request, rather than only a `PING`.
     has_sent_request: bool,
     /// When the client's timeout last started: with the connection, after a reply, at the first byte of a command, when
-    /// a command was taken from the buffer, when a large value made progress, or when a wait for a large buffer began or the
-    /// client sent more in it.
+    /// a command was taken from the buffer, when a large value made progress, when a wait for a large buffer began, or
+    /// when the client sent more during that wait.
     timeout_started_at: Instant,
     /// Whether the buffer may hold another complete command, which the next iteration starts.
     may_have_more: bool,
--- a/crates/node/src/clients/session/commands.rs
+++ b/crates/node/src/clients/session/commands.rs
@@ -186,7 +186,8 @@
     }
 
     /// Rejects a request that the connection has no room for: it already has [`MAX_OPEN_REQUESTS`] open, or there was no
-    /// memory for its command. The request is not opened, so its client may retry it safely. The driver decides how long the client should wait.
+    /// memory for its command. The request is not opened, so its client may retry it safely. The driver decides how long
+    /// the client should wait.
     fn reject_excess(&mut self, request: &ClientRequest) -> PendingReply {
         let (sender, response) = oneshot::channel();
         let class = request.class_name().map(str::to_owned);
--- a/crates/node/src/clients/session/memory.rs
+++ b/crates/node/src/clients/session/memory.rs
@@ -168,6 +168,7 @@
     fn discard_command(&mut self) {
         let counted = self.buffer.len() + self.end_memory_wait();
         let Some(write) = AnnouncedWrite::parse(&self.buffer) else { return };
+        self.context.metrics.discarded_commands.increment();
         debug!(
             event = "command_discarded",
             length = write.length,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    /// The memory for large values that are relayed: a quarter.
+    /// The memory for large buffers, a quarter, and what [`MemoryBudget`] adds to it.
     pub(crate) fn relay_budget(&self) -> MemoryBudget {
         MemoryBudget::new(self.memory / 4)
     }
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -44,7 +44,8 @@
         self.events.push_back(Event::Request(event));
     }
 
-    /// Rejects a request that exceeds the number of open requests allowed on its connection.
+    /// Rejects a request that its session has not opened, because the connection has too many open requests or there was
+    /// no memory for the command.
     pub(super) fn reject_excess(&mut self, excess: ExcessRequest) {
         let class = excess.class.as_deref();
         let index = class.and_then(|name| self.settings.class(name));
@@ -56,7 +57,7 @@
             event = "request_rejected",
             class,
             retry_after_us = retry_after,
-            "the connection has too many open requests"
+            "a request was not opened: too many are open on its connection, or there was no memory"
         );
         let _ = excess.response.send(Response::Rejected { retry_after }); // the client may have disconnected
     }
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -4,8 +4,9 @@
 //!
 //! - A value on its way to a client never waits for memory. While the chunks' part is used up it proceeds in chunks of
 //!   [`MIN_CHUNK_BYTES`], which the memory accounted for each open request covers.
-//! - Whoever waits for a command's memory holds none, and no command's memory is held while a reply before it is
-//!   pending, unless the command is small.
+//! - Whoever waits for a command's memory holds none for that command. What its connection holds for earlier ones is
+//!   released without it.
+//! - No command's memory is held while a reply before it is pending, unless the command is small.
 //! - Small commands have a part that large ones cannot use up.
 //!
 //! The waits themselves are bounded by the callers, since clients decide how long a command's memory is held.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -23,7 +23,8 @@
 pub(crate) enum Message {
     /// A client sent a request.
     RequestReceived(IncomingRequest),
-    /// A client sent a request while its connection had as many open as it may have.
+    /// A client sent a request that its session did not open: its connection had as many open as it may have, or there
+    /// was no memory for the command.
     ExcessRequest(ExcessRequest),
     /// The client of a request disconnected.
     ClientDisconnected(RequestId),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -51,6 +51,8 @@
     pub(crate) deadline_excess: DurationHistogram,
     /// Idle connections to caches on which unsolicited bytes have arrived.
     pub(crate) unsolicited_replies: Counter,
+    /// Commands that were read and dropped, because there was no memory for them in time.
+    pub(crate) discarded_commands: Counter,
     /// Connections reused so soon that an unsolicited reply could still arrive on them.
     pub(crate) early_reuses: Counter,
     in_flight: Counter,
@@ -164,6 +166,7 @@
             ("svc_closed_owing_by_node_total", "counter", self.unanswered_closes.by_node.get()),
             ("svc_unasked_total", "counter", self.unsolicited_replies.get()),
             ("svc_reused_soon_total", "counter", self.early_reuses.get()),
+            ("svc_commands_discarded_total", "counter", self.discarded_commands.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed_servers.get()),
             ("svc_hosts_down", "gauge", self.unavailable_servers.get()),
