Review: two lesser cases give way to graver ones, the others are renumbered

The cases on ids with the same hash and on pushed lists after an outage move to the report: a crash and a lost value of the open issues are graver. Both still run by the stand-ins' program (same-hash, outage), as does a third that never was a case (stale-start). The stand-ins gain the two new plays.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,4 @@
     echo "run review/build-2.sh first" >&2
     exit 2
 fi
-exec "$program" late-copy "$root" "$folder"
+exec "$program" broken-value "$root" "$folder"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
     echo "run review/build-2.sh first" >&2
     exit 2
 fi
-exec "$program" slow-discovery "$root" "$folder"
+exec "$program" late-copy "$root" "$folder"
--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -2,9 +2,11 @@
 
 mod broken_value;
 mod late_copy;
+mod memory;
 mod outage;
 mod same_hash;
 mod slow_discovery;
+mod slow_reader;
 mod stale_start;
 
 use std::io;
@@ -26,6 +28,8 @@
         "stale-start" => stale_start::run(context),
         "late-copy" => late_copy::run(context),
         "slow-discovery" => slow_discovery::run(context),
+        "memory" => memory::run(context),
+        "slow-reader" => slow_reader::run(context),
         "outage" => outage::run(context),
         _ => Ok(Verdict::Void(format!("there is no case {case}"))),
     };
--- a/review/stand-ins-2/src/cases/late_copy.rs
+++ b/review/stand-ins-2/src/cases/late_copy.rs
@@ -64,7 +64,7 @@
     let mut listed: Vec<_> = caches.iter().map(|c| (c.id.as_str(), c.addr, "box", "SERVING")).collect();
     listed.push(("origin", origin.addr, "origin", "SERVING"));
     discovery.change(&listed);
-    let settings = Settings { registry_mode: "subscribe", siblings: 1 };
+    let settings = Settings::ASKED;
     let node = Node::start(context, 0, &settings, discovery.addr, &discovery.list())?;
 
     let foreign: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/review/stand-ins-2/src/cases/outage.rs
+++ b/review/stand-ins-2/src/cases/outage.rs
@@ -27,7 +27,7 @@
     let mut listed: Vec<_> = caches.iter().map(|c| (c.id.as_str(), c.addr, "box", "SERVING")).collect();
     listed.push(("origin", origin.addr, "origin", "SERVING"));
     discovery.change(&listed);
-    let settings = Settings { registry_mode: "automatic", siblings: NODES };
+    let settings = Settings { registry_mode: "automatic", siblings: NODES, ..Settings::ASKED };
     let mut nodes = Vec::new();
     for index in 0..NODES {
         nodes.push(Node::start(context, index, &settings, discovery.addr, &discovery.list())?);
--- a/review/stand-ins-2/src/cases/same_hash.rs
+++ b/review/stand-ins-2/src/cases/same_hash.rs
@@ -33,7 +33,7 @@
     ];
     listed.extend(others.iter().map(|cache| (cache.id.as_str(), cache.addr, "box", "SERVING")));
     discovery.change(&listed);
-    let settings = Settings { registry_mode: "subscribe", siblings: 1 };
+    let settings = Settings::ASKED;
     let node = Node::start(context, 0, &settings, discovery.addr, &discovery.list())?;
     let load = Load::start(node.listen, 8, 200, Duration::from_millis(30));
     thread::sleep(Duration::from_secs(4));
--- a/review/stand-ins-2/src/cases/stale_start.rs
+++ b/review/stand-ins-2/src/cases/stale_start.rs
@@ -27,7 +27,7 @@
     if context.trouble {
         discovery.set_delay(DELAY);
     }
-    let settings = Settings { registry_mode: "automatic", siblings: 1 };
+    let settings = Settings { registry_mode: "automatic", ..Settings::ASKED };
     record.line("the node comes back with the list that it last had, in which s-1 is SERVING");
     let node = Node::start(context, 0, &settings, discovery.addr, &known)?;
     let load = Load::start(node.listen, 8, 200, Duration::from_millis(20));
--- a/review/stand-ins-2/src/node.rs
+++ b/review/stand-ins-2/src/node.rs
@@ -36,11 +36,18 @@
     pub registry_mode: &'static str,
     /// The number of nodes.
     pub siblings: usize,
+    /// The memory limit, in MiB.
+    pub memory_mb: u64,
+}
+
+impl Settings {
+    /// A node alone, with the greatest memory limit of the pages.
+    pub const ASKED: Settings = Settings { registry_mode: "subscribe", siblings: 1, memory_mb: 192 };
 }
 
 /// The settings object: two classes, a safe one of reads and a keyed one of writes, as at a small site.
 fn settings_json(settings: &Settings, index: usize) -> String {
-    let Settings { registry_mode, siblings } = settings;
+    let Settings { registry_mode, siblings, .. } = settings;
     format!(
         r#"{{"Classes":[
   {{"Name":"look","Aim":600,"HardLimit":1200,"Effect":"safe","DedupScope":"all","Window":5000,"Worth":1,"LateShare":0.3,"Stream":false}},
@@ -58,6 +65,7 @@
 pub struct Node {
     pub name: String,
     pub listen: SocketAddr,
+    pub pid: u32,
     /// When the process was started.
     pub started: Instant,
     /// When it had answered its first `PING`.
@@ -90,6 +98,13 @@
 }
 
 impl Node {
+    /// The memory of the process as the platform sees it, in bytes: what is resident, without what it shares.
+    pub fn memory(&self) -> Option<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok().map(|kib| kib << 10)
+    }
+
     /// Starts a node and waits until it has answered `PING`. `known` is the list that it starts with.
     pub fn start(
         context: &Context,
@@ -104,8 +119,9 @@
         FOLDERS.lock().unwrap().push(folder.clone());
         let listen = free_port()?;
         let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{}}}"#,
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":1024}},"known":{known},"settings":{}}}"#,
             std::process::id() as u64 * 7919 + index as u64,
+            settings.memory_mb,
             settings_json(settings, index)
         );
         let config_file = folder.join("config.json");
@@ -125,13 +141,14 @@
             .stderr(log)
             .spawn()?;
         context.record.line_at(started, format!("node {name} is started, for clients at {listen}"));
-        let guard = start_guard(child.id());
+        let pid = child.id();
+        let guard = start_guard(pid);
         CHILDREN.lock().unwrap().extend([guard?, child]);
         while started.elapsed() < Duration::from_secs(10) {
             if Client::connect(listen).and_then(|mut client| client.ping()).is_ok() {
                 let ready = Instant::now();
                 context.record.line_at(ready, format!("node {name} has answered PING"));
-                return Ok(Node { name, listen, started, ready });
+                return Ok(Node { name, listen, pid, started, ready });
             }
             thread::sleep(Duration::from_millis(5));
         }
