--- a/review/stand-ins-2/src/cache.rs
+++ b/review/stand-ins-2/src/cache.rs
@@ -18,8 +18,6 @@
     pub key: String,
     pub id: String,
     pub facts: String,
-    /// The number of the connection at this server, from 0.
-    pub connection: usize,
 }
 
 type Answer = dyn Fn(&Call, &mut TcpStream) -> io::Result<()> + Send + Sync;
@@ -55,7 +53,7 @@
         });
         let serving = shared.clone();
         thread::spawn(move || {
-            for (number, stream) in listener.incoming().enumerate() {
+            for stream in listener.incoming() {
                 let Ok(stream) = stream else { continue };
                 if serving.dead.load(Ordering::SeqCst) {
                     return; // drops the listener: new connections meet a refusal
@@ -65,7 +63,7 @@
                     serving.connections.lock().unwrap().push(copy);
                 }
                 let serving = serving.clone();
-                thread::spawn(move || serve(stream, number, &serving));
+                thread::spawn(move || serve(stream, &serving));
             }
         });
         Ok(Cache { id: id.to_owned(), addr, shared })
@@ -86,7 +84,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, connection: usize, shared: &Shared) {
+fn serve(mut stream: TcpStream, shared: &Shared) {
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
     loop {
@@ -99,7 +97,7 @@
         let text = |index: usize| {
             words.get(index).map(|w| String::from_utf8_lossy(w).into_owned()).unwrap_or_default()
         };
-        let call = Call { first_byte, name: text(0), key: text(1), id: text(2), facts: text(3), connection };
+        let call = Call { first_byte, name: text(0), key: text(1), id: text(2), facts: text(3) };
         shared.calls.lock().unwrap().push(call.clone());
         if (shared.answer)(&call, &mut stream).is_err() {
             let _ = stream.shutdown(Shutdown::Both);
--- a/review/stand-ins-2/src/cases/broken_value.rs
+++ b/review/stand-ins-2/src/cases/broken_value.rs
@@ -27,7 +27,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(WORK)?;
+    let origin = Origin::start(record, WORK)?;
     let long_key: Arc<Mutex<Option<String>>> = Arc::default();
     let dying: Arc<Mutex<Option<Cache>>> = Arc::default();
     let mut caches = Vec::new();
@@ -37,7 +37,11 @@
         caches.push(Cache::start(&format!("s-{number}"), move |call, to| {
             thread::sleep(WORK);
             if long_key.lock().unwrap().as_ref() != Some(&call.key) {
-                return write_hit(to, value_of(&call.key, &call.id).as_bytes());
+                write_hit(to, value_of(&call.key, &call.id).as_bytes())?;
+                if !call.key.starts_with("key-") || long_key.lock().unwrap().is_some() {
+                    record.line(format!("s-{number} has answered {} {}", call.key, call.id));
+                }
+                return Ok(());
             }
             use std::io::Write;
             to.write_all(format!("*3\r\n${VALUE_BYTES}\r\n").as_bytes())?;
--- a/review/stand-ins-2/src/cases/memory.rs
+++ b/review/stand-ins-2/src/cases/memory.rs
@@ -70,7 +70,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(Duration::from_millis(20))?;
+    let origin = Origin::start(record, Duration::from_millis(20))?;
     let mut caches = Vec::new();
     for number in 0..6 {
         caches.push(Cache::start(&format!("s-{number}"), |call, to| answer(&call.key, to))?);
--- a/review/stand-ins-2/src/cases/outage.rs
+++ b/review/stand-ins-2/src/cases/outage.rs
@@ -19,7 +19,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(Duration::from_millis(20))?;
+    let origin = Origin::start(record, Duration::from_millis(20))?;
     let mut caches = Vec::new();
     for number in 0..6 {
         caches.push(sound_cache(&format!("s-{number}"))?);
--- a/review/stand-ins-2/src/cases/same_hash.rs
+++ b/review/stand-ins-2/src/cases/same_hash.rs
@@ -18,7 +18,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(Duration::from_millis(20))?;
+    let origin = Origin::start(record, Duration::from_millis(20))?;
     let replaced = sound_cache(REPLACED)?;
     let drained = sound_cache(DRAINED)?;
     let mut others = Vec::new();
--- a/review/stand-ins-2/src/cases/slow_reader.rs
+++ b/review/stand-ins-2/src/cases/slow_reader.rs
@@ -21,7 +21,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(Duration::from_millis(20))?;
+    let origin = Origin::start(record, Duration::from_millis(20))?;
     let mut caches = Vec::new();
     for number in 0..5 {
         let (name, record) = (format!("s-{number}"), record.clone());
--- a/review/stand-ins-2/src/cases/stale_start.rs
+++ b/review/stand-ins-2/src/cases/stale_start.rs
@@ -16,7 +16,7 @@
 pub fn run(context: &Context) -> io::Result<Verdict> {
     let record = &context.record;
     let discovery = Discovery::start(record)?;
-    let origin = Origin::start(Duration::from_millis(20))?;
+    let origin = Origin::start(record, Duration::from_millis(20))?;
     let caches = [sound_cache("s-0")?, sound_cache("s-1")?, sound_cache("s-2")?, sound_cache("s-3")?];
     let mut listed: Vec<_> = caches.iter().map(|c| (c.id.as_str(), c.addr, "box", "SERVING")).collect();
     listed.push(("origin", origin.addr, "origin", "SERVING"));
--- a/review/stand-ins-2/src/origin.rs
+++ b/review/stand-ins-2/src/origin.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::cache::value_of;
+use crate::record::Record;
 
 /// A request that the origin has run.
 #[derive(Clone)]
@@ -24,14 +25,15 @@
 
 impl Origin {
     /// Starts an origin that answers each request after this time.
-    pub fn start(work: Duration) -> io::Result<Origin> {
+    pub fn start(record: &Record, work: Duration) -> io::Result<Origin> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let origin = Origin { addr: listener.local_addr()?, runs: Arc::default() };
         let runs = origin.runs.clone();
+        let record = record.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let runs = runs.clone();
-                thread::spawn(move || serve(stream, work, &runs));
+                let (runs, record) = (runs.clone(), record.clone());
+                thread::spawn(move || serve(stream, work, &runs, &record));
             }
         });
         Ok(origin)
@@ -58,7 +60,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, work: Duration, runs: &Mutex<Vec<Run>>) {
+fn serve(mut stream: TcpStream, work: Duration, runs: &Mutex<Vec<Run>>, record: &Record) {
     let _ = stream.set_nodelay(true);
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
@@ -79,5 +81,6 @@
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
+        record.line(format!("the origin has answered {first} {id}"));
     }
 }
