--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -541,6 +541,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The anonymous memory of the process, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let anonymous = status.lines().find_map(|line| line.strip_prefix("RssAnon:")?.strip_suffix(" kB"));
+        anonymous.expect("the process runs").trim().parse::<usize>().unwrap() << 10
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- /dev/null
+++ b/crates/cli/tests/waiting_replies.rs
@@ -0,0 +1,97 @@
+//! Replies that wait behind a long value on their connection.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fakes::*;
+
+const CACHES: [&str; 6] = ["s-0", "s-1", "s-2", "s-3", "s-4", "s-5"];
+/// The memory limit of the node, in MiB: the least that a deployment has.
+const MEMORY_MB: usize = 32;
+/// The longest value that the node accepts, in bytes.
+const MAX_VALUE: usize = 4 << 20;
+/// The longest value that is not relayed, in bytes.
+const MAX_BUFFERED_VALUE: usize = 64 << 10;
+/// Clients that read a long value and others behind it.
+const CLIENTS: usize = 16;
+/// The reads of each client behind the long value. Together the values are twice as long as the memory limit.
+const READS_BEHIND: usize = 62;
+/// A client starts this long after the one before it.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the memory of the node is observed.
+const OBSERVATION: Duration = Duration::from_millis(2_000);
+
+fn start_node(caches: &[FakeServer], origin: &FakeServer) -> Node {
+    let caches: Vec<_> = CACHES.into_iter().zip(caches.iter().map(|cache| cache.addr)).collect();
+    let known = server_list(41, &caches, origin.addr);
+    let options = NodeOptions::new(&known, FakeServer::http().addr);
+    NodeOptions { memory_mb: MEMORY_MB, operator: true, ..options }.start()
+}
+
+/// The calls to which a long reply has begun.
+type BegunReplies = Arc<Mutex<Vec<Call>>>;
+
+/// Sends a part of each value whose key starts with `long`, and all other values whole.
+fn begin_long_values(cache: FakeServer, begun: BegunReplies) {
+    thread::spawn(move || {
+        let value = "v".repeat(MAX_BUFFERED_VALUE);
+        loop {
+            let mut call = cache.next_call();
+            if call.words[1].starts_with("long") {
+                call.reply(format!("*3\r\n${MAX_VALUE}\r\nv"));
+                begun.lock().unwrap().push(call);
+            } else {
+                call.try_reply(&format!("*3\r\n${MAX_BUFFERED_VALUE}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n"));
+            }
+        }
+    });
+}
+
+fn read_command(key: &str, id: &str) -> String {
+    encode_command(&["CACHE.GET", key, id, "c=read,d=2000"])
+}
+
+/// A read of a long value and the reads behind it.
+fn pipelined_reads(client: usize) -> String {
+    let long = read_command(&format!("long-{client}"), &format!("long-{client}"));
+    let behind = (0..READS_BEHIND).map(|read| format!("short-{client}-{read}"));
+    behind.fold(long, |commands, key| commands + &read_command(&key, &key))
+}
+
+/// Guards against replies that wait for one before them in no memory budget: together they took a node over its limit.
+#[test]
+fn replies_that_wait_behind_long_values_stay_within_the_memory_limit() {
+    let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
+    let node = start_node(&caches, &origin);
+    let long_calls = BegunReplies::default();
+    for cache in caches {
+        begin_long_values(cache, long_calls.clone());
+    }
+    let start = Instant::now();
+    let mut clients: Vec<Client> = Vec::new();
+    while start.elapsed() < OBSERVATION {
+        let number = clients.len();
+        if number < CLIENTS && start.elapsed() > CLIENT_INTERVAL * number as u32 {
+            let mut client = node.client();
+            client.write(pipelined_reads(number));
+            clients.push(client);
+        }
+        let bytes = node.memory_bytes();
+        assert!(bytes < MEMORY_MB << 20, "{bytes} bytes of memory after {:?}", start.elapsed());
+        thread::sleep(Duration::from_millis(5));
+    }
+    for mut call in long_calls.lock().unwrap().drain(..) {
+        let rest = "v".repeat(MAX_VALUE - 1) + "\r\n$3\r\nhit\r\n$-1\r\n";
+        thread::spawn(move || call.try_reply(&rest));
+    }
+    let readers = clients.into_iter().map(|mut client| {
+        thread::spawn(move || (0..=READS_BEHIND).all(|_| matches!(client.read_outcome(), Outcome::Reply(_))))
+    });
+    for reader in readers.collect::<Vec<_>>() {
+        assert!(reader.join().unwrap(), "a request has no reply");
+    }
+}
--- a/crates/node/src/clients/command.rs
+++ b/crates/node/src/clients/command.rs
@@ -16,6 +16,8 @@
 /// The most RESP2 framing around the arguments in the header of a write, in bytes. The header is what precedes the
 /// value.
 const MAX_HEADER_OVERHEAD_BYTES: usize = 256;
+/// The longest value that is copied out of the read buffer, in bytes. A command with a longer one has a buffer to itself.
+const MAX_COPIED_VALUE_BYTES: usize = 8 << 10;
 /// An empty bulk string of RESP2.
 const EMPTY_BULK_STRING: &[u8] = b"$0\r\n\r\n";
 /// The longest timeout that a client may state, in microseconds; a longer one is reduced to this.
@@ -65,11 +67,17 @@
     // Copied, since a slice would keep the whole read buffer allocated.
     let key = key.to_owned();
     let [id, metadata] = [id, metadata].map(|text| Bytes::copy_from_slice(text));
-    let mut request = ClientRequest { key, id, metadata, value, timeout: 0 };
+    let value = value.map(copy_if_short);
+    let mut request = ClientRequest { key, id, metadata, value, value_permit: None, timeout: 0 };
     request.timeout = parse_timeout(&request)?;
     Ok(request)
 }
 
+/// Copies a short value, since a slice would keep the whole read buffer allocated.
+fn copy_if_short(value: Bytes) -> Bytes {
+    if value.len() <= MAX_COPIED_VALUE_BYTES { Bytes::copy_from_slice(&value) } else { value }
+}
+
 /// Whether a text can be forwarded in an HTTP header, which requests to the origin require.
 fn is_header_value(text: &Bytes) -> bool {
     !text.is_empty() && HeaderValue::from_bytes(text).is_ok()
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -24,6 +24,7 @@
 use pending_replies::OpenRequestIds;
 #[cfg(test)]
 pub(crate) use pending_replies::ReplyDeadline;
+pub(crate) use pending_replies::RequestMemory;
 use session::Session;
 
 use crate::client_limits::ClientLimits;
@@ -109,7 +110,7 @@
     session_ended: Arc<Notify>,
     next_request_id: Arc<AtomicU32>,
     open_request_ids: OpenRequestIds,
-    /// The memory of the open requests of all connections, in bytes.
+    /// The memory of the open requests and pending replies of all connections, in bytes.
     request_memory: Arc<AtomicUsize>,
     /// The memory for read buffers larger than the small one that each connection has, and for values in transit.
     budget: MemoryBudget,
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -12,11 +12,15 @@
 use tokio::time::Instant;
 
 use crate::invariants::{ANSWER_SLACK, Invariant, Violations};
-use crate::memory_budget::MemoryPermit;
+use crate::memory_budget::{BufferedValue, MemoryPermit};
 use crate::metrics::InFlightGuard;
 use crate::relay::ValueStream;
+use crate::reply_turn::ReplyTurn;
 use crate::request::Response;
 
+/// The text of the error that tells a client that its request has failed.
+pub(crate) const FAILED_TEXT: &str = "ERR failed";
+
 /// The ids of the open requests of all connections, as the clients gave them.
 pub(crate) type OpenRequestIds = Arc<Mutex<HashSet<Bytes>>>;
 
@@ -40,17 +44,17 @@
     }
 }
 
-/// The memory that is accounted for an open request, released on drop.
+/// The memory that is accounted for an open request or a pending reply, released on drop.
 pub(crate) struct RequestMemory {
     bytes: usize,
     total: Arc<AtomicUsize>,
 }
 
 impl RequestMemory {
-    /// Adds `bytes` to `total`, the memory of the open requests of all connections.
-    pub(crate) fn add(bytes: usize, total: &Arc<AtomicUsize>) -> RequestMemory {
+    /// Adds `bytes` to `total`, the memory of the open requests and pending replies of all connections.
+    pub(crate) fn add(bytes: usize, total: &Arc<AtomicUsize>) -> Arc<RequestMemory> {
         total.fetch_add(bytes, Ordering::Relaxed);
-        RequestMemory { bytes, total: total.clone() }
+        Arc::new(RequestMemory { bytes, total: total.clone() })
     }
 }
 
@@ -83,20 +87,20 @@
     pub(crate) deadline: ReplyDeadline,
     pub(crate) response: oneshot::Receiver<Response>,
     pub(crate) _claimed_id: OpenRequestId,
-    pub(crate) _memory: RequestMemory,
-    /// The permit for the memory of a large value that the request carries.
-    pub(crate) _value_permit: Option<MemoryPermit>,
+    pub(crate) memory: Arc<RequestMemory>,
+    /// Told when the reply is the next one of the connection.
+    pub(crate) turn: ReplyTurn,
     pub(crate) _in_flight: InFlightGuard,
 }
 
 /// A reply that has not been written yet.
 pub(crate) enum PendingReply {
     /// A complete reply that does not come from the driver, such as an error.
-    Ready(BytesFrame),
+    Ready(BytesFrame, Arc<RequestMemory>),
     /// The reply to a request.
     Request(UnansweredRequest),
     /// The rejection of a request that is never opened, because the connection has too many open ones.
-    Rejection(oneshot::Receiver<Response>),
+    Rejection(oneshot::Receiver<Response>, Arc<RequestMemory>),
     /// A value that has started to arrive from a server.
     Value(ValueStream, UnansweredRequest),
 }
@@ -107,13 +111,38 @@
     }
 }
 
+/// The memory that is accounted for a reply until it has been written.
+pub(crate) struct ReplyMemory {
+    _request: Arc<RequestMemory>,
+    _value: Option<MemoryPermit>,
+}
+
 /// A complete reply.
 pub(crate) struct FrameReply {
     pub(crate) frame: BytesFrame,
+    pub(crate) memory: ReplyMemory,
     /// The deadline of the request that this is the reply to, if it is one.
     pub(crate) deadline: Option<ReplyDeadline>,
 }
 
+impl FrameReply {
+    /// The reply to a request. `permit` is for the memory of its value.
+    fn to_request(
+        frame: BytesFrame,
+        deadline: ReplyDeadline,
+        memory: Arc<RequestMemory>,
+        permit: Option<MemoryPermit>,
+    ) -> FrameReply {
+        let memory = ReplyMemory { _request: memory, _value: permit };
+        FrameReply { frame, memory, deadline: Some(deadline) }
+    }
+
+    /// A reply that is not to a request, such as an error.
+    fn without_request(frame: BytesFrame, memory: Arc<RequestMemory>) -> FrameReply {
+        FrameReply { frame, memory: ReplyMemory { _request: memory, _value: None }, deadline: None }
+    }
+}
+
 /// A reply whose writing can start.
 pub(crate) enum WritableReply {
     Frame(FrameReply),
@@ -123,21 +152,23 @@
 
 /// A response in the form in which it is sent over RESP2.
 enum EncodedResponse {
-    Frame(BytesFrame),
+    /// A complete frame, and the permit for the memory of its value.
+    Frame(BytesFrame, Option<MemoryPermit>),
     Value(ValueStream),
 }
 
 impl From<Response> for EncodedResponse {
     fn from(response: Response) -> EncodedResponse {
-        EncodedResponse::Frame(match response {
+        let error = match response {
             Response::Stream(stream) => return EncodedResponse::Value(stream),
-            Response::Value(value) => BytesFrame::BulkString(value),
-            Response::Rejected { retry_after: 0 } => BytesFrame::Error("BUSY".into()),
-            Response::Rejected { retry_after } => {
-                BytesFrame::Error(format!("BUSY {}", retry_after.div_ceil(1000)).into())
+            Response::Value(BufferedValue { bytes, permit }) => {
+                return EncodedResponse::Frame(BytesFrame::BulkString(bytes), permit);
             }
-            Response::Failed => BytesFrame::Error("ERR failed".into()),
-        })
+            Response::Rejected { retry_after: 0 } => "BUSY".into(),
+            Response::Rejected { retry_after } => format!("BUSY {}", retry_after.div_ceil(1000)).into(),
+            Response::Failed => FAILED_TEXT.into(),
+        };
+        EncodedResponse::Frame(BytesFrame::Error(error), None)
     }
 }
 
@@ -188,8 +219,8 @@
             Some(PendingReply::Request(request)) => {
                 Some((&mut request.response).await.unwrap_or(Response::Failed))
             }
-            Some(PendingReply::Rejection(response)) => Some(response.await.unwrap_or(Response::Failed)),
-            Some(PendingReply::Ready(_) | PendingReply::Value(..)) => None,
+            Some(PendingReply::Rejection(response, _)) => Some(response.await.unwrap_or(Response::Failed)),
+            Some(PendingReply::Ready(..) | PendingReply::Value(..)) => None,
             None => pending().await,
         };
         match (self.pop(), response.map(EncodedResponse::from)) {
@@ -197,11 +228,12 @@
                 WritableReply::Value(stream, request)
             }
             (Some(PendingReply::Value(stream, request)), _) => WritableReply::Value(stream, request),
-            (Some(PendingReply::Request(request)), Some(EncodedResponse::Frame(frame))) => {
-                WritableReply::Frame(FrameReply { frame, deadline: Some(request.deadline) })
+            (Some(PendingReply::Request(request)), Some(EncodedResponse::Frame(frame, permit))) => {
+                WritableReply::Frame(FrameReply::to_request(frame, request.deadline, request.memory, permit))
             }
-            (Some(PendingReply::Ready(frame)), _) | (_, Some(EncodedResponse::Frame(frame))) => {
-                WritableReply::Frame(FrameReply { frame, deadline: None })
+            (Some(PendingReply::Rejection(_, memory)), Some(EncodedResponse::Frame(frame, _)))
+            | (Some(PendingReply::Ready(frame, memory)), _) => {
+                WritableReply::Frame(FrameReply::without_request(frame, memory))
             }
             (_, _) => pending().await,
         }
@@ -210,15 +242,22 @@
     /// Takes the reply to the oldest command if it can be written completely now. The failure of a request that the
     /// driver dropped without a response is left to [`next`](Self::next).
     pub(crate) fn take_ready(&mut self) -> Option<FrameReply> {
-        let (frame, deadline) = match self.replies.front_mut()? {
-            PendingReply::Ready(frame) => (std::mem::replace(frame, BytesFrame::Null), None),
-            PendingReply::Rejection(response) => match EncodedResponse::from(response.try_recv().ok()?) {
-                EncodedResponse::Frame(frame) => (frame, None),
-                EncodedResponse::Value(_) => return None,
-            },
+        let reply = match self.replies.front_mut()? {
+            PendingReply::Ready(frame, memory) => {
+                FrameReply::without_request(std::mem::replace(frame, BytesFrame::Null), memory.clone())
+            }
+            PendingReply::Rejection(response, memory) => {
+                match EncodedResponse::from(response.try_recv().ok()?) {
+                    EncodedResponse::Frame(frame, _) => FrameReply::without_request(frame, memory.clone()),
+                    EncodedResponse::Value(_) => return None,
+                }
+            }
             PendingReply::Request(request) => {
                 match EncodedResponse::from(request.response.try_recv().ok()?) {
-                    EncodedResponse::Frame(frame) => (frame, Some(request.deadline.clone())),
+                    EncodedResponse::Frame(frame, permit) => {
+                        let (deadline, memory) = (request.deadline.clone(), request.memory.clone());
+                        FrameReply::to_request(frame, deadline, memory, permit)
+                    }
                     EncodedResponse::Value(stream) => {
                         self.start_value(stream);
                         return None;
@@ -228,7 +267,15 @@
             PendingReply::Value(..) => return None,
         };
         self.pop();
-        Some(FrameReply { frame, deadline })
+        Some(reply)
+    }
+
+    /// Tells the request of the oldest pending reply that it is the next one, if it is a request. To be called once the
+    /// reply before it has been written.
+    pub(crate) fn begin_turn(&mut self) {
+        if let Some(PendingReply::Request(request)) = self.replies.front() {
+            request.turn.begin();
+        }
     }
 
     /// Replaces the oldest pending reply, which is that of a request, by its value, which has started to arrive.
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -22,7 +22,7 @@
 use crate::memory_budget::MemoryPermit;
 use crate::message::Message;
 use crate::relay::CHUNK_BYTES;
-use memory::{DiscardedCommand, MemoryWait};
+use memory::{DiscardedCommand, MemoryWait, Reservation, next_permit};
 
 /// The size up to which every connection may have a read buffer, in bytes. A larger buffer needs a permit of the memory
 /// budget.
@@ -74,6 +74,12 @@
     buffer_permit: Option<MemoryPermit>,
     /// The wait for that permit, while there is one.
     memory_wait: Option<MemoryWait>,
+    /// The permit for the reply of the next command, if the command is complete and replies are pending before it.
+    reply_permit: Option<MemoryPermit>,
+    /// Whether the buffer has a complete command that waits for the memory of its reply.
+    awaits_reply_memory: bool,
+    /// The wait for that memory.
+    reply_wait: Option<Reservation>,
     /// The command that is being discarded, because there was no memory for it.
     discarded: Option<DiscardedCommand>,
     /// For a large buffer: the number of bytes in it when the client's timeout last started.
@@ -107,6 +113,9 @@
             buffer: BytesMut::new(),
             buffer_permit: None,
             memory_wait: None,
+            reply_permit: None,
+            awaits_reply_memory: false,
+            reply_wait: None,
             discarded: None,
             progress_bytes: 0,
             received_at: now,
@@ -176,6 +185,8 @@
             }
             self.update_idle_slot(&mut slot);
             self.update_memory_wait(shutting_down);
+            self.update_reply_wait();
+            self.pending.begin_turn();
             let guards = self.select_guards(shutting_down);
             tokio::select! {
                 biased;
@@ -192,6 +203,10 @@
                 event = MemoryWait::next_event(&mut self.memory_wait), if self.memory_wait.is_some() => {
                     self.on_memory_wait_event(socket, event)?;
                 }
+                permit = next_permit(&mut self.reply_wait), if self.reply_wait.is_some() => {
+                    self.reply_wait = None;
+                    self.reply_permit = permit;
+                }
                 reply = self.pending.next(), if guards.has_pending_replies => {
                     self.write_reply(socket, reply).await?;
                 }
@@ -280,7 +295,10 @@
     /// would keep the node running until it is killed. The client repeats what was not read on another connection.
     fn reads(&self, shutting_down: bool) -> bool {
         let may_read = self.discarded.is_some() || self.may_start_command();
-        may_read && !self.may_have_more && (!shutting_down || self.pending.is_empty())
+        may_read
+            && !self.may_have_more
+            && !self.awaits_reply_memory
+            && (!shutting_down || self.pending.is_empty())
     }
 
     /// Whether the client has sent a part of a command.
--- a/crates/node/src/clients/session/commands.rs
+++ b/crates/node/src/clients/session/commands.rs
@@ -1,12 +1,13 @@
 //! How a session starts the commands that it has read.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::RequestId;
-use stonefold_proto::resp::{MalformedFrame, decode_frame};
+use stonefold_proto::resp::{MalformedFrame, decode_frame, has_complete_frame};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tracing::trace;
@@ -18,9 +19,11 @@
     OpenRequestId, PendingReply, ReplyDeadline, RequestMemory, UnansweredRequest,
 };
 use crate::invariants::Invariant;
+use crate::memory_budget::{MAX_REPLY_BYTES, ReplyReservation};
 use crate::message::{ExcessRequest, IncomingRequest, Message};
 use crate::metrics::InFlightGuard;
 use crate::relay::MAX_FRAME_BYTES;
+use crate::reply_turn::ReplyTurn;
 use crate::request::ClientRequest;
 
 /// The number of requests that one connection may have open. Requests beyond it are rejected.
@@ -30,8 +33,11 @@
 const MAX_PENDING_REPLIES: usize = 1024;
 /// The number of commands that a session starts before it lets other tasks run.
 const MAX_COMMANDS_PER_TURN: usize = 32;
-/// The memory that is accounted for an open request in addition to its command, in bytes.
-const REQUEST_OVERHEAD_BYTES: usize = 4 << 10;
+/// The memory that is accounted for an open request in addition to its command and to what has a permit, in bytes: its
+/// state, a short reply, and the read buffer of a connection to the origin.
+const REQUEST_OVERHEAD_BYTES: usize = 12 << 10;
+/// The memory that is accounted for a pending reply that is not to an open request, in bytes.
+const PENDING_REPLY_BYTES: usize = 512;
 /// While the open requests occupy at least the clients' memory divided by this, each connection may have one at a time.
 const REQUEST_MEMORY_DIVISOR: usize = 2;
 
@@ -62,7 +68,12 @@
             return;
         }
         let before = self.buffer.len();
+        self.awaits_reply_memory = false;
         self.may_have_more = self.start_some_commands();
+        self.reply_permit = None; // no command was there for it
+        if !self.awaits_reply_memory {
+            self.reply_wait = None;
+        }
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new(); // frees the memory of a buffer that has grown
         }
@@ -72,6 +83,15 @@
         }
     }
 
+    /// Reserves the memory for the reply of another command, and returns whether there is any. The next reply of a
+    /// connection needs none: where there is no memory to buffer it, it is relayed.
+    fn has_reply_memory(&mut self) -> bool {
+        if !self.pending.is_empty() && self.reply_permit.is_none() {
+            self.reply_permit = self.context.budget.try_reserve_reply(MAX_REPLY_BYTES);
+        }
+        self.pending.is_empty() || self.reply_permit.is_some()
+    }
+
     /// Starts up to [`MAX_COMMANDS_PER_TURN`] commands. Returns whether the buffer may hold more complete ones.
     fn start_some_commands(&mut self) -> bool {
         for _ in 0..MAX_COMMANDS_PER_TURN {
@@ -80,6 +100,11 @@
             }
             let before = self.buffer.len();
             let limit = self.frame_limit();
+            if !self.has_reply_memory() {
+                // What is malformed is rejected without a reply from a server, but like other errors it waits.
+                self.awaits_reply_memory = has_complete_frame(&self.buffer, limit).unwrap_or(true);
+                return false;
+            }
             let reply = match decode_frame(&mut self.buffer, limit).map(|frame| frame.map(into_arguments)) {
                 Ok(None) => return false,
                 Ok(Some(Ok(arguments))) => self.start_command(&arguments, before - self.buffer.len()),
@@ -94,25 +119,34 @@
     fn reject_malformed(&mut self) -> PendingReply {
         self.malformed_at = Some(Instant::now());
         self.buffer.clear();
-        PendingReply::Ready(BytesFrame::Error("ERR malformed command".into()))
+        self.ready(BytesFrame::Error("ERR malformed command".into()))
+    }
+
+    /// A reply that does not come from the driver.
+    fn ready(&self, frame: BytesFrame) -> PendingReply {
+        PendingReply::Ready(frame, self.pending_reply_memory())
+    }
+
+    fn pending_reply_memory(&self) -> Arc<RequestMemory> {
+        RequestMemory::add(PENDING_REPLY_BYTES, &self.context.request_memory)
     }
 
     /// Starts a command that had `length` bytes in the buffer.
     fn start_command(&mut self, arguments: &[Bytes], length: usize) -> PendingReply {
         let reply = match arguments {
             [name] if name.eq_ignore_ascii_case(b"PING") => {
-                Ok(PendingReply::Ready(BytesFrame::SimpleString("PONG".into())))
+                Ok(self.ready(BytesFrame::SimpleString("PONG".into())))
             }
             _ => parse_command(arguments).and_then(|request| self.start_request(request, length)),
         };
         self.has_sent_command |= reply.is_ok();
-        reply.unwrap_or_else(error_reply)
+        reply.unwrap_or_else(|error| self.error_reply(&error))
     }
 
     /// Sends a request, whose command had `length` bytes, to the driver.
     fn start_request(
         &mut self,
-        request: ClientRequest,
+        mut request: ClientRequest,
         length: usize,
     ) -> Result<PendingReply, ClientCommandError> {
         self.check_class(&request)?;
@@ -122,7 +156,7 @@
         // Servers treat requests with the same id as one request, so two clients would get the same answer.
         let claimed_id = OpenRequestId::claim(&request.id, &self.context.open_request_ids)
             .ok_or(ClientCommandError::IdInUse)?;
-        let value_permit = if length >= SMALL_BUFFER_BYTES { self.buffer_permit.take() } else { None };
+        request.value_permit = if length >= SMALL_BUFFER_BYTES { self.buffer_permit.take() } else { None };
         let in_flight = InFlightGuard::new(&self.context.metrics);
         let memory = RequestMemory::add(REQUEST_OVERHEAD_BYTES + length, &self.context.request_memory);
         let id = RequestId(self.context.next_request_id.fetch_add(1, Ordering::Relaxed));
@@ -132,9 +166,17 @@
             at: self.received_at + Duration::from_micros(request.timeout),
             request: request.id.clone(),
         };
-        let client = self.status.clone();
-        let incoming =
-            IncomingRequest { id, request, received_at: self.received_at, response: sender, client };
+        let turn = ReplyTurn::default();
+        let incoming = IncomingRequest {
+            id,
+            request,
+            received_at: self.received_at,
+            response: sender,
+            client: self.status.clone(),
+            reservation: ReplyReservation::new(self.reply_permit.take()),
+            turn: turn.clone(),
+            memory: memory.clone(),
+        };
         // If the driver has ended, the sender is dropped and the request fails.
         let _ = self.context.driver.send(Message::RequestReceived(incoming));
         self.has_sent_request = true;
@@ -143,8 +185,8 @@
             deadline,
             response,
             _claimed_id: claimed_id,
-            _memory: memory,
-            _value_permit: value_permit,
+            memory,
+            turn,
             _in_flight: in_flight,
         }))
     }
@@ -168,7 +210,12 @@
             Ok(self.reject_excess(&request))
         });
         self.has_sent_command |= reply.is_ok();
-        reply.unwrap_or_else(error_reply)
+        reply.unwrap_or_else(|error| self.error_reply(&error))
+    }
+
+    /// The reply to a command that cannot be executed.
+    fn error_reply(&self, error: &ClientCommandError) -> PendingReply {
+        self.ready(BytesFrame::Error(format!("ERR {error}").into()))
     }
 
     /// Counts and logs the arrival of a request.
@@ -194,11 +241,6 @@
         // If the driver has ended, the sender is dropped and the request fails.
         let _ = self.context.driver.send(Message::ExcessRequest(ExcessRequest { class, response: sender }));
         self.has_sent_request = true;
-        PendingReply::Rejection(response)
+        PendingReply::Rejection(response, self.pending_reply_memory())
     }
 }
-
-/// The reply to a command that cannot be executed.
-fn error_reply(error: ClientCommandError) -> PendingReply {
-    PendingReply::Ready(BytesFrame::Error(format!("ERR {error}").into()))
-}
--- a/crates/node/src/clients/session/memory.rs
+++ b/crates/node/src/clients/session/memory.rs
@@ -13,7 +13,9 @@
 
 use super::{SMALL_BUFFER_BYTES, Session};
 use crate::clients::command::{AnnouncedWrite, ClientCommandError};
-use crate::memory_budget::{MAX_SMALL_COMMAND_BYTES, MemoryBudget, MemoryPermit, is_small_command};
+use crate::memory_budget::{
+    MAX_REPLY_BYTES, MAX_SMALL_COMMAND_BYTES, MemoryBudget, MemoryPermit, is_small_command,
+};
 use crate::relay::CHUNK_BYTES;
 use crate::request::ClientRequest;
 
@@ -29,7 +31,8 @@
 /// The kernel accepts at least this many bytes that the node has not read. A client that has sent more may be blocked.
 const MIN_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 
-type Reservation = Pin<Box<dyn Future<Output = io::Result<MemoryPermit>> + Send + Sync>>;
+/// A wait for memory. It keeps its position in the queue until it ends.
+pub(super) type Reservation = Pin<Box<dyn Future<Output = io::Result<MemoryPermit>> + Send + Sync>>;
 
 /// A session's wait for the memory of a command. It keeps its position in the queue until it ends.
 pub(super) struct MemoryWait {
@@ -50,8 +53,8 @@
 }
 
 impl MemoryWait {
-    fn new(budget: MemoryBudget, bytes: usize, discard_at: Option<Instant>) -> MemoryWait {
-        let reservation = Box::pin(async move { budget.reserve_command(bytes).await });
+    fn new(budget: MemoryBudget, bytes: usize, is_next: bool, discard_at: Option<Instant>) -> MemoryWait {
+        let reservation = Box::pin(async move { budget.reserve_command(bytes, is_next).await });
         MemoryWait { reservation, discard_at, unread_at_progress: 0 }
     }
 
@@ -79,6 +82,19 @@
     }
 }
 
+/// Waits for the end of a wait for memory, forever if there is none. `None` only if the budget is closed, which never
+/// happens.
+///
+/// # Cancel safety
+///
+/// Cancel safe: the reservation is kept.
+pub(super) async fn next_permit(wait: &mut Option<Reservation>) -> Option<MemoryPermit> {
+    match wait {
+        Some(reservation) => reservation.await.ok(),
+        None => pending().await,
+    }
+}
+
 /// A command that is read and dropped, because there was no memory for it in time. It is rejected at its end.
 pub(super) struct DiscardedCommand {
     /// The number of bytes that have not been read yet.
@@ -112,11 +128,22 @@
         }
         let now = Instant::now();
         let discard_at = write.map(|write| now + self.memory_wait_limit(&write));
-        self.memory_wait = Some(MemoryWait::new(self.context.budget.clone(), bytes, discard_at));
+        let is_next = self.pending.is_empty();
+        self.memory_wait = Some(MemoryWait::new(self.context.budget.clone(), bytes, is_next, discard_at));
         self.timeout_started_at = now;
         self.progress_bytes = self.buffer.len();
     }
 
+    /// Starts or ends the wait for the memory of a reply.
+    pub(super) fn update_reply_wait(&mut self) {
+        if !self.awaits_reply_memory || !self.may_start_command() {
+            self.reply_wait = None;
+        } else if self.reply_wait.is_none() {
+            let budget = self.context.budget.clone();
+            self.reply_wait = Some(Box::pin(async move { budget.reserve_reply(MAX_REPLY_BYTES).await }));
+        }
+    }
+
     /// How long the write at the start of the buffer waits for memory.
     fn memory_wait_limit(&self, write: &AnnouncedWrite) -> Duration {
         match write.request_without_value(&self.buffer) {
--- a/crates/node/src/clients/session/replies.rs
+++ b/crates/node/src/clients/session/replies.rs
@@ -10,7 +10,7 @@
 
 use super::{CloseReason, Session};
 use crate::clients::disconnect::while_connected;
-use crate::clients::pending_replies::{FrameReply, ReplyDeadline, WritableReply};
+use crate::clients::pending_replies::{FrameReply, ReplyDeadline, ReplyMemory, WritableReply};
 use crate::relay::PROGRESS_TIMEOUT;
 
 /// The number of bytes after which no more replies are added to a batch, so that other tasks can run.
@@ -21,12 +21,15 @@
     text: BytesMut,
     /// The deadlines of the replies that have one.
     deadlines: Vec<ReplyDeadline>,
+    /// The memory of the replies, accounted until they have been written.
+    memory: Vec<ReplyMemory>,
 }
 
 impl ReplyBatch {
     fn add(&mut self, reply: FrameReply) {
         encode(&mut self.text, &reply.frame);
         self.deadlines.extend(reply.deadline);
+        self.memory.push(reply.memory);
     }
 }
 
@@ -54,7 +57,7 @@
 
     /// Adds the replies after the first one that are ready, up to [`MAX_BATCH_BYTES`].
     fn collect_batch(&mut self, first: FrameReply) -> ReplyBatch {
-        let mut batch = ReplyBatch { text: BytesMut::new(), deadlines: Vec::new() };
+        let mut batch = ReplyBatch { text: BytesMut::new(), deadlines: Vec::new(), memory: Vec::new() };
         batch.add(first);
         while batch.text.len() < MAX_BATCH_BYTES {
             let Some(reply) = self.pending.take_ready() else { break };
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -127,14 +127,21 @@
         // If the driver has ended, the stream is dropped and the attempt ends.
         let on_start = move |stream| _ = sender.send(Message::ResponseStarted { attempt: id, stream });
         let addr = target.addr;
+        let open = &self.open_requests[&id.request];
+        let relay = RelayContext {
+            budget: self.budget.clone(),
+            reservation: open.reservation.clone(),
+            turn: open.turn.clone(),
+            on_start: Box::new(on_start),
+        };
         let attempt = attempt::Attempt {
             target,
             pooled,
-            request: self.open_requests[&id.request].request.clone(),
+            request: open.request.clone(),
             deadline,
             connect_timeout: Duration::from_micros(self.settings.connect_timeout),
             metrics: self.metrics.clone(),
-            relay: RelayContext { budget: self.budget.clone(), on_start: Box::new(on_start) },
+            relay,
         };
         let sender = self.sender.clone();
         let work = async move {
@@ -211,6 +218,7 @@
         }
         running.first_byte_after = Some(running.started_at.elapsed());
         open.responded_at = Some(Instant::now());
+        open.reservation.release();
         let _ = sender.send(Response::Stream(stream)); // the client may have disconnected
         self.events.push_back(Event::ResponseStarted(attempt));
         self.stop_unwritten_attempts(attempt.request);
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -12,7 +12,10 @@
 use tracing::debug;
 
 use crate::client_status::ClientStatus;
+use crate::clients::RequestMemory;
+use crate::memory_budget::ReplyReservation;
 use crate::metrics::OutcomeCounters;
+use crate::reply_turn::ReplyTurn;
 use crate::request::{ClientRequest, Response};
 use crate::upstream::send_permit::SendStart;
 
@@ -32,6 +35,12 @@
     /// When the final response was sent.
     pub(crate) responded_at: Option<Instant>,
     pub(crate) client: ClientStatus,
+    /// The memory that was reserved for the reply.
+    pub(crate) reservation: ReplyReservation,
+    /// Whether the reply is the next one of its connection.
+    pub(crate) turn: ReplyTurn,
+    /// The memory that is accounted for the request.
+    pub(crate) _memory: Arc<RequestMemory>,
     /// Where the outcome is counted; `None` for a request without a class.
     pub(crate) outcomes: Option<Arc<OutcomeCounters>>,
 }
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -15,7 +15,8 @@
 impl Driver {
     /// Opens a request, unless its client has disconnected already.
     pub(super) fn on_request_received(&mut self, incoming: IncomingRequest) {
-        let IncomingRequest { id, request, received_at, response, client } = incoming;
+        let IncomingRequest { id, request, received_at, response, client, reservation, turn, memory } =
+            incoming;
         if client.is_disconnected() {
             return;
         }
@@ -39,6 +40,9 @@
             may_have_run: false,
             responded_at: None,
             client,
+            reservation,
+            turn,
+            _memory: memory,
         };
         self.open_requests.insert(id, open);
         self.events.push_back(Event::Request(event));
@@ -98,6 +102,7 @@
         }
         open.log_response(&response);
         open.responded_at = Some(Instant::now());
+        open.reservation.release();
         let _ = sender.send(response); // the client may have disconnected
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod overrides;
 mod relay;
 mod reload;
+mod reply_turn;
 mod request;
 mod run;
 pub mod shared;
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -1,4 +1,4 @@
-//! The memory that large commands and values in transit may occupy, divided by what waits for it.
+//! The memory that large commands, buffered replies and values in transit may occupy, divided by what waits for it.
 //!
 //! Invariants, which exclude deadlock and starvation:
 //!
@@ -6,8 +6,12 @@
 //!   [`MIN_CHUNK_BYTES`], which the memory accounted for each open request covers.
 //! - Whoever waits for a command's memory holds none for that command. What its connection holds for earlier ones is
 //!   released without it.
-//! - No command's memory is held while a reply before it is pending, unless the command is small.
+//! - The part of the large buffers is held only by a command or reply that is the next one of its connection. So whoever
+//!   holds it waits for servers and for its own client, and for nobody else's memory.
 //! - Small commands have a part that large ones cannot use up.
+//! - A reply never waits for memory to be buffered. If its part of the budget is used up, it is relayed like a long
+//!   value. Only a command that would be started behind another one waits for the memory of its reply, and no reply waits
+//!   for that command.
 //!
 //! The waits themselves are bounded by the callers, since clients decide how long a command's memory is held.
 
@@ -16,7 +20,11 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::relay::{CHUNK_BYTES, MAX_BUFFERED_BYTES, MAX_FRAME_BYTES, MAX_VALUE_BYTES};
+use crate::relay::{CHUNK_BYTES, MAX_BUFFERED_BYTES, MAX_FRAME_BYTES};
+
+mod replies;
+
+pub(crate) use replies::{BufferedValue, MAX_ENVELOPE_BYTES, MAX_REPLY_BYTES, ReplyReservation};
 
 /// The size of a chunk that is read without a permit, in bytes. A value in transit has two chunks at most.
 pub(crate) const MIN_CHUNK_BYTES: usize = 2 << 10;
@@ -26,58 +34,79 @@
 const CHUNKS_DIVISOR: usize = 8;
 /// Small commands have this fraction of what large buffers may occupy in addition.
 const SMALL_COMMANDS_DIVISOR: usize = 8;
+/// Buffered replies have this fraction of what large buffers may occupy in addition.
+const REPLIES_DIVISOR: usize = 2;
 
 /// A reserved part of the memory budget, returned to it on drop.
 pub(crate) type MemoryPermit = OwnedSemaphorePermit;
 
-/// The memory of commands that do not fit in a connection's small buffer, and of values in transit. Clones share one
-/// budget.
+/// The memory of commands that do not fit in a connection's small buffer, of buffered replies and of values in transit.
+/// Clones share one budget.
 #[derive(Clone)]
 pub(crate) struct MemoryBudget {
     chunks: Arc<Semaphore>,
     small_commands: Arc<Semaphore>,
+    replies: Arc<Semaphore>,
     large_buffers: Arc<Semaphore>,
 }
 
 impl MemoryBudget {
     /// Creates a budget with `bytes` for large buffers, or [`MAX_FRAME_BYTES`] if that is more. Chunks and small
-    /// commands have an eighth of it each in addition.
+    /// commands have an eighth of it each in addition, and buffered replies a half.
     pub(crate) fn new(bytes: usize) -> MemoryBudget {
         MemoryBudget {
             chunks: Arc::new(Semaphore::new(bytes / CHUNKS_DIVISOR)),
             small_commands: Arc::new(Semaphore::new(
                 (bytes / SMALL_COMMANDS_DIVISOR).max(MAX_SMALL_COMMAND_BYTES),
             )),
+            replies: Arc::new(Semaphore::new((bytes / REPLIES_DIVISOR).max(MAX_REPLY_BYTES))),
             large_buffers: Arc::new(Semaphore::new(bytes.max(MAX_FRAME_BYTES))),
         }
     }
 
     /// Waits until `bytes` are free and reserves them for a command that is buffered completely. Commands of the same
-    /// kind, small or large, are served in the order of the calls.
+    /// kind, small or large, are served in the order of the calls. A small one may have memory from the part of the large
+    /// ones if it is the next command that its connection replies to.
     ///
     /// # Errors
     ///
     /// Fails only if the budget is closed, which never happens.
-    pub(crate) async fn reserve_command(&self, bytes: usize) -> io::Result<MemoryPermit> {
+    pub(crate) async fn reserve_command(&self, bytes: usize, is_next: bool) -> io::Result<MemoryPermit> {
         if !is_small_command(bytes) {
             return reserve(&self.large_buffers, bytes).await;
         }
         // Does not overtake a large command that waits: the memory that is free then has been assigned to it.
-        let free =
-            try_reserve(&self.small_commands, bytes).or_else(|| try_reserve(&self.large_buffers, bytes));
+        let large = || if is_next { try_reserve(&self.large_buffers, bytes) } else { None };
+        let free = try_reserve(&self.small_commands, bytes).or_else(large);
         match free {
             Some(permit) => Ok(permit),
             None => reserve(&self.small_commands, bytes).await,
         }
     }
 
-    /// Waits until there is memory for the largest value, and reserves it.
+    /// Waits until `bytes` are free for a reply that is the next one of its connection, and reserves them. `bytes` is at
+    /// most [`MAX_FRAME_BYTES`].
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the budget is closed, which never happens.
+    pub(crate) async fn reserve_large(&self, bytes: usize) -> io::Result<MemoryPermit> {
+        reserve(&self.large_buffers, bytes).await
+    }
+
+    /// Waits until `bytes` are free for a reply, and reserves them. `bytes` is at most [`MAX_REPLY_BYTES`].
     ///
     /// # Errors
     ///
     /// Fails only if the budget is closed, which never happens.
-    pub(crate) async fn reserve_largest_value(&self) -> io::Result<MemoryPermit> {
-        reserve(&self.large_buffers, MAX_VALUE_BYTES).await
+    pub(crate) async fn reserve_reply(&self, bytes: usize) -> io::Result<MemoryPermit> {
+        debug_assert!(bytes <= MAX_REPLY_BYTES, "a reply of {bytes} bytes");
+        reserve(&self.replies, bytes).await
+    }
+
+    /// Reserves memory for a reply, if it is free.
+    pub(crate) fn try_reserve_reply(&self, bytes: usize) -> Option<MemoryPermit> {
+        try_reserve(&self.replies, bytes)
     }
 
     /// Reserves the memory of one chunk of a value in transit, if it is free. `bytes` is at most [`CHUNK_BYTES`].
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use stonefold_balancer::settings_document::{ResolvedSettings, SettingsDocument, SettingsError};
@@ -11,8 +12,11 @@
 use tokio::time::Instant;
 
 use crate::client_status::ClientStatus;
+use crate::clients::RequestMemory;
+use crate::memory_budget::ReplyReservation;
 use crate::overrides::Overrides;
 use crate::relay::ValueStream;
+use crate::reply_turn::ReplyTurn;
 use crate::request::{ClientRequest, Response};
 use crate::upstream::attempt::AttemptResult;
 use crate::upstream::connection::ServerConnection;
@@ -96,6 +100,12 @@
     /// Receives the response.
     pub(crate) response: oneshot::Sender<Response>,
     pub(crate) client: ClientStatus,
+    /// The memory that was reserved for the reply.
+    pub(crate) reservation: ReplyReservation,
+    /// Whether the reply is the next one of its connection.
+    pub(crate) turn: ReplyTurn,
+    /// The memory that is accounted for the request.
+    pub(crate) memory: Arc<RequestMemory>,
 }
 
 /// A request beyond the number that one connection may have open. It is rejected at once and never forwarded.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::memory_budget::{MIN_CHUNK_BYTES, MemoryBudget, MemoryPermit};
+use crate::memory_budget::{MIN_CHUNK_BYTES, MemoryBudget, MemoryPermit, ReplyReservation};
+use crate::reply_turn::ReplyTurn;
 
 /// The largest value that is accepted, in bytes.
 pub(crate) const MAX_VALUE_BYTES: usize = 4 << 20;
@@ -115,11 +116,11 @@
 
 impl ValueStream {
     /// Creates the stream of a value that has been read completely. `permit` is for the memory that the value occupies.
-    pub(crate) fn buffered(bytes: Bytes, permit: MemoryPermit) -> ValueStream {
+    pub(crate) fn buffered(bytes: Bytes, permit: Option<MemoryPermit>) -> ValueStream {
         let (sender, chunks) = mpsc::channel(1);
         let length = bytes.len();
         // Succeeds, since the channel is empty and has room for one chunk.
-        let _ = sender.try_send(Chunk { bytes, _permit: Some(permit) });
+        let _ = sender.try_send(Chunk { bytes, _permit: permit });
         ValueStream { length, chunks }
     }
 
@@ -149,12 +150,35 @@
     }
 }
 
-/// What an attempt needs to relay a large value.
+/// What an attempt needs to buffer or to relay a value.
 pub(crate) struct RelayContext {
-    /// The budget that the chunks are reserved from.
+    /// The budget that chunks and replies are reserved from.
     pub(crate) budget: MemoryBudget,
+    /// What was reserved for the request's reply before.
+    pub(crate) reservation: ReplyReservation,
+    /// Whether the reply to the request is the next one of its connection.
+    pub(crate) turn: ReplyTurn,
     /// Called with the value's stream once its first bytes have been read.
-    pub(crate) on_start: Box<dyn FnOnce(ValueStream) + Send>,
+    pub(crate) on_start: Box<dyn FnOnce(ValueStream) + Send + Sync>,
+}
+
+impl RelayContext {
+    /// Reserves the memory to buffer a reply of `bytes`, without waiting. `None` if there is none. `bytes` is at most
+    /// [`MAX_REPLY_BYTES`](crate::memory_budget::MAX_REPLY_BYTES).
+    pub(crate) fn try_reserve_reply(&self, bytes: usize) -> Option<MemoryPermit> {
+        self.reservation.take(bytes, &self.budget)
+    }
+
+    /// Waits until there is memory for the largest value, and reserves it. A reply that has to wait for others of its
+    /// connection gets none before: these may depend on the memory of other connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the budget is closed, which never happens.
+    pub(crate) async fn reserve_largest_value(&self) -> io::Result<MemoryPermit> {
+        self.turn.wait().await;
+        self.budget.reserve_large(MAX_VALUE_BYTES).await
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -8,6 +8,7 @@
 use stonefold_balancer::Micros;
 use stonefold_proto::metadata::metadata_value;
 
+use crate::memory_budget::{BufferedValue, MemoryPermit};
 use crate::relay::ValueStream;
 
 /// The part of a client's timeout that is reserved for the transfer of the response and the granularity of timers.
@@ -32,6 +33,8 @@
     pub(crate) metadata: Bytes,
     /// The value that a write stores; `None` for a read.
     pub(crate) value: Option<Bytes>,
+    /// The permit for the memory of a large value.
+    pub(crate) value_permit: Option<MemoryPermit>,
     /// How long the client will wait, counted from the arrival of the request.
     pub(crate) timeout: Micros,
 }
@@ -73,7 +76,7 @@
 /// The final response to a request.
 pub(crate) enum Response {
     /// The value.
-    Value(Bytes),
+    Value(BufferedValue),
     /// The value, forwarded while it arrives from the server.
     Stream(ValueStream),
     /// The request was rejected without effect. The client should wait this long before a retry, if it is not 0.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use stonefold_balancer::Outcome;
 use stonefold_net::SocketErrorKind;
 use tokio::time::{Instant, timeout};
 
 use super::connection::ServerConnection;
 use super::directory::Target;
+use crate::memory_budget::BufferedValue;
 use crate::metrics::Metrics;
 use crate::relay::RelayContext;
 use crate::request::ClientRequest;
@@ -22,7 +22,7 @@
     /// The outcome that is reported to the balancer.
     pub(crate) outcome: Outcome,
     /// The value to serve after `Outcome::Success`, unless it was relayed as a stream.
-    pub(crate) value: Bytes,
+    pub(crate) value: BufferedValue,
     /// Whether the cache had the value, if the reply says so.
     pub(crate) cache_hit: Option<bool>,
 }
@@ -30,7 +30,7 @@
 impl AttemptResult {
     /// A result without a value.
     pub(crate) fn of(outcome: Outcome) -> Self {
-        AttemptResult { outcome, value: Bytes::new(), cache_hit: None }
+        AttemptResult { outcome, value: BufferedValue::default(), cache_hit: None }
     }
 }
 
--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -9,7 +9,8 @@
 
 use super::*;
 use crate::client_status::ClientStatus;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, ReplyReservation};
+use crate::reply_turn::ReplyTurn;
 use crate::stall::StallMonitor;
 use crate::upstream::send_permit::{SendConditions, SendPermit, ServingFlag};
 
@@ -19,7 +20,7 @@
 
 fn request() -> ClientRequest {
     let (id, metadata) = ("id".into(), "c=read,d=5000".into());
-    ClientRequest { key: "k".into(), id, metadata, value: None, timeout: 5_000_000 }
+    ClientRequest { key: "k".into(), id, metadata, value: None, value_permit: None, timeout: 5_000_000 }
 }
 
 /// A client connection, and its status. A task marks the status when the client disconnects, as a session does.
@@ -57,7 +58,12 @@
         // The client disconnects and the thread blocks, so that no socket is polled before the attempt runs.
         drop(client);
         thread::sleep(STALL);
-        let relay = RelayContext { budget: MemoryBudget::new(0), on_start: Box::new(|_| {}) };
+        let relay = RelayContext {
+            budget: MemoryBudget::new(0),
+            reservation: ReplyReservation::default(),
+            turn: ReplyTurn::default(),
+            on_start: Box::new(|_| {}),
+        };
         let deadline = Instant::now() + WAIT;
         let request = Arc::new(request());
         let connect_timeout = WAIT;
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -10,19 +10,14 @@
 use tracing::trace;
 
 use super::attempt::AttemptResult;
-use super::cache_protocol::{ReplyStart, command_header, parse_reply, take_reply_start};
+use super::cache_protocol::{command_header, parse_reply};
+use super::reply_buffer::{CacheReply, NextStep, ReplyBuffer};
 use super::send_permit::{SendPermit, StatedTime};
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MAX_ENVELOPE_BYTES, MemoryBudget};
 use crate::metrics::Metrics;
-use crate::relay::{
-    Chunk, MAX_BUFFERED_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueSink, value_channel,
-};
+use crate::relay::{Chunk, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueSink, value_channel};
 use crate::request::ClientRequest;
 
-/// The largest part of a reply other than its value, in bytes.
-const MAX_ENVELOPE_BYTES: usize = 2 << 10;
-/// The largest reply that is not relayed in chunks, in bytes.
-const MAX_REPLY_BYTES: usize = MAX_BUFFERED_BYTES + MAX_ENVELOPE_BYTES;
 /// The start of a reply with an empty value. With this in front, the end of a relayed reply can be parsed as a complete
 /// reply.
 const EMPTY_VALUE_REPLY: &[u8] = b"*3\r\n$0\r\n";
@@ -94,29 +89,20 @@
 
     /// Reads a reply. An error is the outcome of the attempt; the connection cannot be used after it.
     async fn read_reply(&mut self, relay: RelayContext) -> Result<CacheReply, Outcome> {
-        let mut buffer = BytesMut::new();
+        let mut buffer = ReplyBuffer::new();
         loop {
-            match take_reply_start(&mut buffer) {
-                ReplyStart::LargeValue { length } => {
-                    let result = self.relay_value(length, buffer.freeze(), relay).await?;
+            match buffer.next_step(&relay)? {
+                NextStep::Read => buffer.read(&self.0).await?,
+                NextStep::Complete(reply) => return Ok(reply),
+                NextStep::Relay { length, first } => {
+                    let result = self.relay_value(length, first, relay).await?;
                     return Ok(CacheReply { result, reusable: true });
                 }
-                // Not decoded as a frame, which would exceed the limit for buffered replies.
-                ReplyStart::LargeValueAwaited => {}
-                ReplyStart::Other => {
-                    if let Some(reply) = take_buffered_reply(&mut buffer)? {
-                        return Ok(reply);
-                    }
-                }
-            }
-            match self.0.read_buf(&mut buffer).await {
-                Ok(0) | Err(_) => return Err(Outcome::ConnectionReset),
-                Ok(_) => {}
             }
         }
     }
 
-    /// Relays a large value, of which `first` has been read. An error is the outcome of the attempt; the connection
+    /// Relays a value, of which `first` has been read. An error is the outcome of the attempt; the connection
     /// cannot be used after it.
     async fn relay_value(
         &mut self,
@@ -124,7 +110,7 @@
         first: Bytes,
         relay: RelayContext,
     ) -> Result<AttemptResult, Outcome> {
-        let RelayContext { budget, on_start } = relay;
+        let RelayContext { budget, on_start, .. } = relay;
         let (sink, stream) = value_channel(length);
         let mut start = Some((on_start, stream));
         // `first` is shorter than the value, so it has no bytes of the reply's end.
@@ -184,18 +170,3 @@
         }
     }
 }
-
-/// Takes a reply without a large value out of the buffer, or returns `None` if it is not complete yet.
-fn take_buffered_reply(buffer: &mut BytesMut) -> Result<Option<CacheReply>, Outcome> {
-    let frame = decode_frame(buffer, MAX_REPLY_BYTES).map_err(|_| Outcome::ServerError)?;
-    let Some(frame) = frame else { return Ok(None) };
-    let result = parse_reply(frame).map_err(|_| Outcome::ServerError)?;
-    Ok(Some(CacheReply { result, reusable: buffer.is_empty() }))
-}
-
-/// A reply that was read completely.
-struct CacheReply {
-    result: AttemptResult,
-    /// Whether the connection can be used for another request.
-    reusable: bool,
-}
--- a/crates/node/src/upstream/cache_protocol.rs
+++ b/crates/node/src/upstream/cache_protocol.rs
@@ -3,7 +3,7 @@
 use std::str;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::Outcome;
 use stonefold_proto::resp::{
@@ -11,6 +11,7 @@
 };
 
 use super::attempt::AttemptResult;
+use crate::memory_budget::BufferedValue;
 use crate::relay::{MAX_BUFFERED_BYTES, MAX_VALUE_BYTES};
 use crate::request::ClientRequest;
 
@@ -38,38 +39,27 @@
     buffer.freeze()
 }
 
-/// What kind of reply the bytes that have been read so far begin with.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum ReplyStart {
-    /// A reply with a large value of this many bytes. Its header has been taken out of the buffer, which now starts
-    /// with the value.
-    LargeValue { length: usize },
-    /// The complete header of a large value, and no byte of the value yet.
-    LargeValueAwaited,
-    /// Any other reply, or too few bytes to tell.
-    Other,
+/// The complete header of a value at the start of a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ValueHeader {
+    /// The length of the header itself, in bytes.
+    pub(crate) header_length: usize,
+    /// The length of the value, in bytes.
+    pub(crate) value_length: usize,
 }
 
-/// Determines the kind of a reply from its start, and takes the header of a large value out of the buffer.
-pub(crate) fn take_reply_start(buffer: &mut BytesMut) -> ReplyStart {
-    let Some((header, length)) = large_value_header(buffer) else { return ReplyStart::Other };
-    // The first bytes of a value decide which attempt's value is relayed, so the header alone is not enough to start.
-    if buffer.len() == header {
-        return ReplyStart::LargeValueAwaited;
+impl ValueHeader {
+    /// Parses the start of a reply. `None` if the reply has no value of at most [`MAX_VALUE_BYTES`], or too few bytes to
+    /// tell.
+    pub(crate) fn parse(reply: &[u8]) -> Option<ValueHeader> {
+        let rest = reply.strip_prefix(VALUE_REPLY_PREFIX)?;
+        let digits = rest.iter().take(MAX_LENGTH_FIELD_BYTES).position(|&byte| byte == b'\r')?;
+        let value_length: usize = str::from_utf8(&rest[..digits]).ok()?.parse().ok()?;
+        let is_complete = rest[digits..].starts_with(b"\r\n");
+        let header_length = VALUE_REPLY_PREFIX.len() + digits + 2;
+        (value_length <= MAX_VALUE_BYTES && is_complete)
+            .then_some(ValueHeader { header_length, value_length })
     }
-    buffer.advance(header);
-    ReplyStart::LargeValue { length }
-}
-
-/// The lengths of the header and of the value, if a reply starts with the complete header of a large value.
-fn large_value_header(reply: &[u8]) -> Option<(usize, usize)> {
-    let rest = reply.strip_prefix(VALUE_REPLY_PREFIX)?;
-    let digits = rest.iter().take(MAX_LENGTH_FIELD_BYTES).position(|&byte| byte == b'\r')?;
-    let length = str::from_utf8(&rest[..digits]).ok()?.parse().ok()?;
-    let is_large = (MAX_BUFFERED_BYTES + 1..=MAX_VALUE_BYTES).contains(&length);
-    let is_complete = rest[digits..].starts_with(b"\r\n");
-    let header = VALUE_REPLY_PREFIX.len() + digits + 2;
-    (is_large && is_complete).then_some((header, length))
 }
 
 /// Interprets a reply. After an error that the protocol does not define, the request may have been executed.
@@ -85,6 +75,7 @@
             let cache_hit = parse_cache_status(&cache_status)?;
             match value {
                 BytesFrame::BulkString(value) if value.len() <= MAX_BUFFERED_BYTES => {
+                    let value = BufferedValue { bytes: value, permit: None };
                     Ok(AttemptResult { outcome: Outcome::Success, value, cache_hit })
                 }
                 BytesFrame::Null => Ok(AttemptResult { cache_hit, ..AttemptResult::of(Outcome::CacheMiss) }),
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod directory;
 mod last_write;
 mod origin_connection;
+mod reply_buffer;
 pub(crate) mod send_permit;
 pub(crate) mod start_times;
--- a/crates/node/src/upstream/origin_connection.rs
+++ b/crates/node/src/upstream/origin_connection.rs
@@ -21,10 +21,11 @@
 use super::attempt::AttemptResult;
 use super::directory::Target;
 use super::last_write::{LastWrite, TimedSocket};
+use crate::memory_budget::{BufferedValue, MIN_CHUNK_BYTES, MemoryPermit};
 use crate::metrics::Metrics;
 use crate::relay::{
-    CHUNK_BYTES, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext,
-    ValueStream, value_channel,
+    MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
+    value_channel,
 };
 use crate::request::ClientRequest;
 
@@ -35,6 +36,11 @@
 /// The response header that is `1` if the request was not executed.
 const UNPROCESSED_HEADER: &str = "X-Unprocessed";
 
+/// The read buffer of a connection, in bytes: the least that the HTTP library allows.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+/// The longest value that is buffered without a permit, in bytes. The memory accounted for each open request covers it.
+const MAX_COVERED_VALUE_BYTES: usize = MIN_CHUNK_BYTES;
+
 /// The characters of a key that are percent-encoded in a path.
 const PATH_ESCAPED: &AsciiSet = &CONTROLS
     .add(b' ')
@@ -75,7 +81,7 @@
         let socket = Arc::new(socket);
         let timed_socket = TimedSocket::new(socket.clone(), last_write.clone());
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(CHUNK_BYTES)
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(timed_socket))
             .await
             .map_err(io::Error::other)?;
@@ -163,20 +169,12 @@
 async fn read_response(response: Response<Incoming>, relay: RelayContext) -> Result<AttemptResult, Outcome> {
     let status = response.status();
     let not_executed = response.headers().get(UNPROCESSED_HEADER).is_some_and(|value| value == "1");
-    let is_value = status == StatusCode::OK;
-    let length = response.body().size_hint().exact().and_then(|length| usize::try_from(length).ok());
-    if is_value
-        && let Some(length) = length
-        && (MAX_BUFFERED_BYTES + 1..=MAX_VALUE_BYTES).contains(&length)
-    {
-        return relay_value(response.into_body(), length, relay).await;
+    let body = response.into_body();
+    if status == StatusCode::OK {
+        return read_value(body, relay).await;
     }
-    let body = match collect_body(response.into_body(), is_value, relay).await? {
-        CollectedBody::Small(body) => body,
-        CollectedBody::Relayed => return Ok(AttemptResult::of(Outcome::Success)),
-    };
+    discard_body(body).await?;
     Ok(match status {
-        StatusCode::OK => AttemptResult { value: body, ..AttemptResult::of(Outcome::Success) },
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_executed => {
             AttemptResult::of(Outcome::Rejected)
         }
@@ -184,46 +182,82 @@
     })
 }
 
-/// A body that has been read to its end.
-enum CollectedBody {
-    /// No longer than [`MAX_BUFFERED_BYTES`].
-    Small(Bytes),
-    /// A longer value, which has been passed on as a [`ValueStream`].
-    Relayed,
+/// Reads the body of a response without a value to its end.
+async fn discard_body(mut body: Incoming) -> Result<(), Outcome> {
+    let mut length = 0;
+    while let Some(bytes) = next_bytes(&mut body).await? {
+        length += bytes.len();
+        if length > MAX_BUFFERED_BYTES {
+            return Err(Outcome::ServerError);
+        }
+    }
+    Ok(())
 }
 
-/// Reads a body whose length is small or unknown. A large value of unknown length is buffered completely, since RESP2
-/// states the length before the value. The memory for the largest value is reserved for it, in one step.
-async fn collect_body(
+/// Reads a body that is a value. It is buffered if it is short and there is memory, or if its length is not known, since
+/// RESP2 states the length before the value. Otherwise it is relayed.
+async fn read_value(body: Incoming, relay: RelayContext) -> Result<AttemptResult, Outcome> {
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let permit = match length {
+        Some(length) if length > MAX_VALUE_BYTES => return Err(Outcome::ServerError),
+        Some(length) if length > MAX_BUFFERED_BYTES => return relay_value(body, length, relay).await,
+        Some(length) if length > MAX_COVERED_VALUE_BYTES => match relay.try_reserve_reply(length) {
+            Some(permit) => Some(permit),
+            None => return relay_value(body, length, relay).await,
+        },
+        Some(_) | None => None,
+    };
+    collect_value(body, permit, relay).await
+}
+
+/// Reads a value completely. `permit` covers it if its length is known and is more than [`MAX_COVERED_VALUE_BYTES`].
+async fn collect_value(
     mut body: Incoming,
-    is_value: bool,
+    mut permit: Option<MemoryPermit>,
     relay: RelayContext,
-) -> Result<CollectedBody, Outcome> {
-    let mut buffer = BytesMut::new();
-    let mut permit = None;
-    while let Some(frame) =
-        timeout(PROGRESS_TIMEOUT, body.frame()).await.map_err(|_| Outcome::ConnectionReset)?
-    {
-        let Ok(bytes) = frame.map_err(|_| Outcome::ConnectionReset)?.into_data() else { continue };
+) -> Result<AttemptResult, Outcome> {
+    let mut buffer = BytesMut::with_capacity(permit.as_ref().map_or(0, MemoryPermit::num_permits));
+    while let Some(bytes) = next_bytes(&mut body).await? {
         let length = buffer.len() + bytes.len();
-        if length > MAX_VALUE_BYTES || length > MAX_BUFFERED_BYTES && !is_value {
+        if length > MAX_VALUE_BYTES {
             return Err(Outcome::ServerError);
         }
-        if length > MAX_BUFFERED_BYTES && permit.is_none() {
-            let reserved = relay.budget.reserve_largest_value().await;
-            permit = Some(reserved.map_err(|_| Outcome::ConnectionReset)?);
-            buffer.reserve(MAX_VALUE_BYTES - buffer.len());
+        let covered = permit.as_ref().map_or(MAX_COVERED_VALUE_BYTES, MemoryPermit::num_permits);
+        if length > covered {
+            let larger = reserve_for_unknown_length(length, &relay).await?;
+            buffer.reserve(larger.num_permits() - buffer.len());
+            permit = Some(larger);
         }
         buffer.extend_from_slice(&bytes);
     }
-    let body = buffer.freeze();
-    Ok(match permit {
-        Some(permit) => {
-            (relay.on_start)(ValueStream::buffered(body, permit));
-            CollectedBody::Relayed
+    let value = buffer.freeze();
+    if value.len() <= MAX_BUFFERED_BYTES {
+        let value = BufferedValue { bytes: value, permit };
+        return Ok(AttemptResult { value, ..AttemptResult::of(Outcome::Success) });
+    }
+    (relay.on_start)(ValueStream::buffered(value, permit));
+    Ok(AttemptResult::of(Outcome::Success))
+}
+
+/// Reserves memory for a value of unknown length of which `length` bytes have arrived: for a short one if that is enough
+/// and free, or else for the largest one.
+async fn reserve_for_unknown_length(length: usize, relay: &RelayContext) -> Result<MemoryPermit, Outcome> {
+    let short = if length <= MAX_BUFFERED_BYTES { relay.try_reserve_reply(MAX_BUFFERED_BYTES) } else { None };
+    match short {
+        Some(permit) => Ok(permit),
+        None => relay.reserve_largest_value().await.map_err(|_| Outcome::ConnectionReset),
+    }
+}
+
+/// Reads the next part of a body; `None` at its end.
+async fn next_bytes(body: &mut Incoming) -> Result<Option<Bytes>, Outcome> {
+    loop {
+        let frame = timeout(PROGRESS_TIMEOUT, body.frame()).await.map_err(|_| Outcome::ConnectionReset)?;
+        let Some(frame) = frame else { return Ok(None) };
+        if let Ok(bytes) = frame.map_err(|_| Outcome::ConnectionReset)?.into_data() {
+            return Ok(Some(bytes));
         }
-        None => CollectedBody::Small(body),
-    })
+    }
 }
 
 /// Relays a large value of known length as it arrives.
@@ -232,7 +266,7 @@
     length: usize,
     relay: RelayContext,
 ) -> Result<AttemptResult, Outcome> {
-    let RelayContext { budget, on_start } = relay;
+    let RelayContext { budget, on_start, .. } = relay;
     let (sink, stream) = value_channel(length);
     let mut start = Some((on_start, stream));
     let mut remaining = length;
--- a/crates/proto/src/resp.rs
+++ b/crates/proto/src/resp.rs
@@ -49,7 +49,7 @@
 ///
 /// Fails if the buffer does not start with a RESP2 frame, or if the frame has more than `limit` bytes.
 pub fn decode_frame(buffer: &mut BytesMut, limit: usize) -> Result<Option<BytesFrame>, MalformedFrame> {
-    if !is_complete(buffer, limit)? {
+    if !has_complete_frame(buffer, limit)? {
         return Ok(None);
     }
     let decoded = decode_bytes_mut(buffer).map_err(|_| MalformedFrame)?;
@@ -57,7 +57,11 @@
 }
 
 /// Whether the buffer starts with a complete frame: a single element, or a flat array.
-fn is_complete(buffer: &[u8], limit: usize) -> Result<bool, MalformedFrame> {
+///
+/// # Errors
+///
+/// Fails if the buffer does not start with a RESP2 frame, or if the frame has more than `limit` bytes.
+pub fn has_complete_frame(buffer: &[u8], limit: usize) -> Result<bool, MalformedFrame> {
     let mut rest = buffer;
     let mut missing_elements = 1;
     let mut array_allowed = true;
