Hold a value back until it is complete while other replies are due

What callers saw: five commands in one write; the cache of the first broke off in its long value, and the node closed the connection.

Cause: a relayed value is written from its first chunk on, whatever is due behind it; once it has begun, only a close tells the client that it is incomplete.

Change: while replies to other requests are due on the connection, a value is written once it is complete. If it breaks off, or is not complete after 1.5 s or at the end of its client's time, its request fails and the others get their replies. Its memory is that of the large buffers, which only the next reply of a connection holds, so that no two waits form a circle.

client_disconnect_is_noticed_while_its_value_is_stalled had the value begin before the reply behind it, which is what the mend forbids. Two tests replace it: a disconnect is noticed while a value is held back, and while a value that has begun is stalled.

--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -139,9 +139,9 @@
     cache.wait_for_connecting(0);
 }
 
-/// Guards against a disconnect that goes unnoticed until the value which a cache has stopped sending is given up.
+/// Guards against a disconnect that goes unnoticed while the value before another reply is held back, until the hold ends.
 #[test]
-fn client_disconnect_is_noticed_while_its_value_is_stalled() {
+fn client_disconnect_is_noticed_while_its_value_is_held_back() {
     let (node, cache, origin) = node_with_backlogged_origin(&settings_without_connect_timeout());
     let (mut client, mut other) = (node.client(), node.client());
     client.send_get("k", "c=read,d=60000");
@@ -149,15 +149,32 @@
     let mut call = cache.next_call();
     call.reply(format!("*3\r\n$200000\r\n{}", "x".repeat(100_000))); // the rest never comes
     origin.wait_for_connecting(1);
-    assert_eq!(client.read_line(), "$200000");
     drop(client);
-    // This read is rejected after one second, while a stalled value is given up only after five.
+    // This read is rejected after one second, while the value is held back for one and a half.
     other.send(&["CACHE.GET", "m", "an-other", "c=read,d=1000"]);
     let _call = cache.next_call();
     assert!(other.read_reply().unwrap().starts_with("-BUSY"));
     assert_eq!(origin.connecting_count(), 0);
 }
 
+/// Guards against a disconnect that goes unnoticed until the value which a cache has stopped sending is given up.
+#[test]
+fn client_disconnect_is_noticed_while_its_value_is_stalled() {
+    /// Half of the time after which a stalled value is given up.
+    const LIMIT: Duration = Duration::from_millis(2_500);
+    let (cache, origin) = (FakeServer::cache(), FakeServer::http());
+    let node = Node::start(&server_list(41, &[(CACHE, cache.addr)], origin.addr), FakeServer::http().addr);
+    let mut client = node.client();
+    client.send_get("k", "c=read,d=60000");
+    let mut call = cache.next_call();
+    call.reply(format!("*3\r\n$200000\r\n{}", "x".repeat(100_000))); // the rest never comes
+    assert_eq!(client.read_line(), "$200000");
+    drop(client);
+    let dropped = Instant::now();
+    assert_eq!(cache.next_closed(), call.connection);
+    assert!(dropped.elapsed() < LIMIT, "the attempt has ended after {:?}", dropped.elapsed());
+}
+
 /// Guards against a disconnect that goes unnoticed because the node reads nothing behind a malformed frame while it
 /// waits for the pending replies.
 #[test]
--- a/crates/cli/tests/waiting_replies.rs
+++ b/crates/cli/tests/waiting_replies.rs
@@ -95,3 +95,62 @@
         assert!(reader.join().unwrap(), "a request has no reply");
     }
 }
+
+/// A cache that replies to `long` with a part of a long value and then closes the connection, and at once to all else.
+fn break_off_long_values(cache: FakeServer, pause: Duration) {
+    thread::spawn(move || {
+        loop {
+            let mut call = cache.next_call();
+            if call.words[1] == "long" {
+                thread::spawn(move || {
+                    call.reply(format!("*3\r\n${MAX_VALUE}\r\n{}", "v".repeat(MAX_VALUE / 2)));
+                    thread::sleep(pause);
+                    call.close();
+                });
+            } else {
+                call.reply_value("value");
+            }
+        }
+    });
+}
+
+/// Guards against requests that were executed and get no reply, because a value before them on their connection broke
+/// off after its first bytes had been passed on.
+#[test]
+fn requests_behind_a_value_that_breaks_off_get_their_replies() {
+    for pause in [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1_800)] {
+        let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
+        let node = start_node(&caches, &origin);
+        for cache in caches {
+            break_off_long_values(cache, pause);
+        }
+        let mut client = node.client();
+        let commands = [
+            read_command("short", "0"),
+            read_command("long", "1"),
+            read_command("short", "2"),
+            encode_command(&["CACHE.SET", "key", "3", "c=put,d=2000", "w"]),
+        ];
+        client.write(commands.concat());
+        origin.next_call().reply_http("200 OK", "stored");
+        let replies: Vec<Outcome> = commands.iter().map(|_| client.read_outcome()).collect();
+        let expected = ["value", "-ERR failed", "value", "stored"].map(|text| Outcome::Reply(text.into()));
+        assert_eq!(replies, expected, "a value that breaks off after {pause:?}");
+        client.ping();
+        assert!(node.metric("svc_held_values_failed_total") >= 1.0);
+    }
+}
+
+/// Guards against a value that is held back though no other reply is due: a client is owed what its server sends.
+#[test]
+fn value_without_a_request_behind_it_is_passed_on_as_it_arrives() {
+    let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
+    let node = start_node(&caches, &origin);
+    let begun = BegunReplies::default();
+    for cache in caches {
+        begin_long_values(cache, begun.clone());
+    }
+    let mut client = node.client();
+    client.write(read_command("long", "1"));
+    assert_eq!(client.read_line(), format!("${MAX_VALUE}"));
+}
--- a/crates/node/src/clients/disconnect.rs
+++ b/crates/node/src/clients/disconnect.rs
@@ -65,11 +65,11 @@
 /// # Errors
 ///
 /// Fails if the write fails, or with `ConnectionAborted` if the client disconnects.
-pub(crate) async fn while_connected(
+pub(crate) async fn while_connected<T>(
     socket: &Socket,
     unread: &mut UnreadTracker,
-    write: impl Future<Output = io::Result<()>>,
-) -> io::Result<()> {
+    write: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
     tokio::select! {
         biased;
         written = write => written,
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -1,6 +1,7 @@
 //! A session serves one client connection: it reads the commands and writes the replies.
 
 mod commands;
+mod held_value;
 mod memory;
 mod replies;
 
--- a/crates/node/src/clients/session/replies.rs
+++ b/crates/node/src/clients/session/replies.rs
@@ -6,12 +6,17 @@
 use redis_protocol::resp2::encode::extend_encode;
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_net::Socket;
+use stonefold_proto::resp::has_complete_frame;
 use tokio::time::{Instant, timeout};
+use tracing::debug;
 
+use super::held_value::HeldValue;
 use super::{CloseReason, Session};
 use crate::clients::disconnect::while_connected;
-use crate::clients::pending_replies::{FrameReply, ReplyDeadline, ReplyMemory, WritableReply};
-use crate::relay::PROGRESS_TIMEOUT;
+use crate::clients::pending_replies::{
+    FAILED_TEXT, FrameReply, ReplyDeadline, ReplyMemory, UnansweredRequest, WritableReply,
+};
+use crate::relay::{MAX_FRAME_BYTES, PROGRESS_TIMEOUT, ValueStream};
 
 /// The number of bytes after which no more replies are added to a batch, so that other tasks can run.
 const MAX_BATCH_BYTES: usize = 16 << 10;
@@ -45,16 +50,48 @@
                     deadline.check(&self.context.metrics.violations);
                 }
             }
-            // The transfer of a large value may take as long as its client and its server need. The request stays open
-            // until it ends.
-            WritableReply::Value(stream, _request) => {
-                while_connected(socket, &mut self.unread, stream.write_to(&mut { socket })).await?;
-            }
+            WritableReply::Value(stream, request) => self.write_value(socket, stream, request).await?,
         }
         self.timeout_started_at = Instant::now();
         Ok(())
     }
 
+    /// Writes a value. While replies to other requests are due it is held back until it is complete, and its request fails
+    /// if it is not complete in time. Otherwise the transfer may take as long as the client and the server need. The
+    /// request stays open until it ends.
+    async fn write_value(
+        &mut self,
+        socket: &Socket,
+        stream: ValueStream,
+        request: UnansweredRequest,
+    ) -> io::Result<()> {
+        if !self.owes_other_replies() {
+            return while_connected(socket, &mut self.unread, stream.write_to(&mut { socket })).await;
+        }
+        let length = stream.length;
+        let budget = self.context.budget.clone();
+        let held = HeldValue::new(stream, Instant::now(), request.deadline.at);
+        let write = async {
+            match held.complete(&budget).await {
+                Some(complete) => complete.write_to(&mut { socket }).await.map(|()| true),
+                None => write_failure(socket).await.map(|()| false),
+            }
+        };
+        if !while_connected(socket, &mut self.unread, write).await? {
+            self.context.metrics.incomplete_held_values.increment();
+            debug!(event = "held_value_failed", request = %String::from_utf8_lossy(&request.deadline.request), length,
+                pending_replies = self.pending.len(),
+                "a value was not complete in time for the replies behind it");
+        }
+        Ok(())
+    }
+
+    /// Whether replies to other requests are due that have been read, besides the one that is being written.
+    fn owes_other_replies(&self) -> bool {
+        let has_unstarted = || has_complete_frame(&self.buffer, MAX_FRAME_BYTES).unwrap_or(false);
+        !self.pending.is_empty() || has_unstarted()
+    }
+
     /// Adds the replies after the first one that are ready, up to [`MAX_BATCH_BYTES`].
     fn collect_batch(&mut self, first: FrameReply) -> ReplyBatch {
         let mut batch = ReplyBatch { text: BytesMut::new(), deadlines: Vec::new(), memory: Vec::new() };
@@ -76,6 +113,13 @@
     Ok(CloseReason::TimedOut)
 }
 
+/// Tells a client that its request has failed.
+async fn write_failure(socket: &Socket) -> io::Result<()> {
+    let mut text = BytesMut::new();
+    encode(&mut text, &BytesFrame::Error(FAILED_TEXT.into()));
+    timeout(PROGRESS_TIMEOUT, socket.write_all(&text)).await?
+}
+
 fn encode(text: &mut BytesMut, frame: &BytesFrame) {
     // Fails only for frames that RESP2 does not have. The node never creates one.
     let _ = extend_encode(text, frame, false);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) unsolicited_replies: Counter,
     /// Commands that were read and dropped, because there was no memory for them in time.
     pub(crate) discarded_commands: Counter,
+    /// Values that were held back for the replies behind them and were not complete in time. Their requests failed.
+    pub(crate) incomplete_held_values: Counter,
     /// Connections reused so soon that an unsolicited reply could still arrive on them.
     pub(crate) early_reuses: Counter,
     in_flight: Counter,
@@ -167,6 +169,7 @@
             ("svc_unasked_total", "counter", self.unsolicited_replies.get()),
             ("svc_reused_soon_total", "counter", self.early_reuses.get()),
             ("svc_commands_discarded_total", "counter", self.discarded_commands.get()),
+            ("svc_held_values_failed_total", "counter", self.incomplete_held_values.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed_servers.get()),
             ("svc_hosts_down", "gauge", self.unavailable_servers.get()),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -67,6 +67,13 @@
     _permit: Option<MemoryPermit>,
 }
 
+impl Chunk {
+    /// Wraps bytes that occupy the memory of `permit`.
+    pub(crate) fn new(bytes: Bytes, permit: Option<MemoryPermit>) -> Chunk {
+        Chunk { bytes, _permit: permit }
+    }
+}
+
 /// The receiving end of a value in transit.
 pub(crate) struct ValueStream {
     /// The length of the whole value, in bytes.
@@ -115,12 +122,11 @@
 }
 
 impl ValueStream {
-    /// Creates the stream of a value that has been read completely. `permit` is for the memory that the value occupies.
-    pub(crate) fn buffered(bytes: Bytes, permit: Option<MemoryPermit>) -> ValueStream {
+    /// Creates the stream of a value that has been read completely.
+    pub(crate) fn complete(value: Chunk) -> ValueStream {
         let (sender, chunks) = mpsc::channel(1);
-        let length = bytes.len();
-        // Succeeds, since the channel is empty and has room for one chunk.
-        let _ = sender.try_send(Chunk { bytes, _permit: permit });
+        let length = value.bytes.len();
+        let _ = sender.try_send(value); // succeeds, since the channel is empty and has room for one chunk
         ValueStream { length, chunks }
     }
 
--- a/crates/node/src/upstream/origin_connection.rs
+++ b/crates/node/src/upstream/origin_connection.rs
@@ -24,7 +24,7 @@
 use crate::memory_budget::{BufferedValue, MIN_CHUNK_BYTES, MemoryPermit};
 use crate::metrics::Metrics;
 use crate::relay::{
-    MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
+    Chunk, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
     value_channel,
 };
 use crate::request::ClientRequest;
@@ -235,7 +235,7 @@
         let value = BufferedValue { bytes: value, permit };
         return Ok(AttemptResult { value, ..AttemptResult::of(Outcome::Success) });
     }
-    (relay.on_start)(ValueStream::buffered(value, permit));
+    (relay.on_start)(ValueStream::complete(Chunk::new(value, permit)));
     Ok(AttemptResult::of(Outcome::Success))
 }
 
