Recognize a second copy of a reply by its value, however late it comes

Cause: replies carry no id, and what came first after a request was its reply. The rest of 15 ms bounds how late a copy may be; 9 ms at the server and up to 9 ms more on the way exceed it.

Change: a connection knows its last reply, and a reply that equals it is not passed on. That does not rest on time. It applies once 64 values in a row were distinct. The origin's connections do the same.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -649,10 +649,10 @@
     pub fn try_write(&mut self, bytes: &str) {
         let _ = self.reader.get_mut().write_all(bytes.as_bytes());
     }
-    /// Pings for 20 ms, which is longer than a connection to a server stays idle before the node uses it again.
+    /// Pings for 35 ms, which is longer than a connection to a server rests before the node uses it again.
     pub fn ping_until_connections_are_reusable(&mut self) {
         let start = Instant::now();
-        while start.elapsed() < Duration::from_millis(20) {
+        while start.elapsed() < Duration::from_millis(35) {
             self.ping();
         }
     }
--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -275,11 +275,14 @@
     assert_eq!(client.read_reply().as_deref(), Some("v"));
     assert_eq!(["svc_unasked_total", "svc_reused_soon_total"].map(|name| node.metric(name)), [1.0, 0.0]);
     let start = Instant::now();
+    let mut number = 0;
     while node.metric("svc_reused_soon_total") == 0.0 {
         assert!(start.elapsed() < TEST_TIMEOUT, "no connection is reused so quickly");
         client.send_get("k", "c=read,d=60000");
-        cache.next_call().reply_value("v");
-        assert_eq!(client.read_reply().as_deref(), Some("v"));
+        number += 1;
+        let value = format!("value {number}"); // connections rest for longer while values are equal
+        cache.next_call().reply_value(&value);
+        assert_eq!(client.read_reply(), Some(value));
         client.ping();
     }
     assert_eq!(node.metric("svc_unasked_total"), 1.0);
--- a/crates/cli/tests/second_replies.rs
+++ b/crates/cli/tests/second_replies.rs
@@ -147,3 +147,78 @@
     }
     assert!(served >= ROUNDS, "only {served} writes were served");
 }
+
+/// The number of distinct values after which the node recognizes a copy by its value.
+const DISTINCT_VALUES: usize = 64;
+
+/// Waits for the next request at any of the caches, and returns the cache's index with it.
+fn next_call(caches: &[FakeServer]) -> (usize, Call) {
+    let start = Instant::now();
+    loop {
+        let called =
+            caches.iter().enumerate().find_map(|(index, cache)| Some((index, cache.try_next_call()?)));
+        if let Some(called) = called {
+            return called;
+        }
+        assert!(start.elapsed() < TEST_TIMEOUT, "no call");
+        thread::yield_now();
+    }
+}
+
+/// Guards against a second copy of a reply that is served to the next request, however late it is sent.
+#[test]
+fn copy_behind_the_next_request_is_not_served_however_late() {
+    let (caches, origin) = ([FakeServer::cache(), FakeServer::cache()], FakeServer::http());
+    let known = server_list(41, &[("s-0", caches[0].addr), ("s-1", caches[1].addr)], origin.addr);
+    let options = NodeOptions::new(&known, FakeServer::http().addr);
+    let node = NodeOptions { operator: true, ..options }.start();
+    let reply =
+        |number| format!("*3\r\n${}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n", value(number).len(), value(number));
+    let mut client = node.client();
+    let mut copies = 0_u32;
+    let mut last_replies = HashMap::new(); // by cache and connection
+    for number in 0..DISTINCT_VALUES + ROUNDS {
+        client.ping_until_connections_are_reusable();
+        client.send(&["CACHE.GET", &format!("key-{number}"), &format!("{number:016x}"), "c=read,d=60000"]);
+        let (mut cache, mut call) = next_call(&caches);
+        let last_reply = last_replies.get(&(cache, call.connection)).copied();
+        if let Some(before) = last_reply.filter(|_| number > DISTINCT_VALUES) {
+            call.reply(reply(before));
+            copies += 1;
+            (cache, call) = next_call(&caches); // the request is repeated at the other cache
+        }
+        call.reply(reply(number));
+        assert_eq!(client.read_reply(), Some(value(number)), "the reply to another request");
+        last_replies.insert((cache, call.connection), number);
+    }
+    assert!(copies as usize >= ROUNDS / 3, "only {copies} copies");
+    assert_eq!(node.metric("svc_repeated_replies_total"), f64::from(copies));
+}
+
+/// Guards against equal replies to different requests that are all taken for copies.
+#[test]
+fn equal_replies_are_served() {
+    let (cache, origin) = (FakeServer::cache(), FakeServer::http());
+    let node = Node::start(&server_list(41, &[(CACHE, cache.addr)], origin.addr), FakeServer::http().addr);
+    let attempts = Arc::new(Mutex::new(0));
+    let counted = attempts.clone();
+    thread::spawn(move || {
+        loop {
+            let call = cache.next_call();
+            *counted.lock().unwrap() += 1;
+            call.reply_value("the same value");
+        }
+    });
+    let mut client = node.client();
+    for number in 0..ROUNDS {
+        client.ping_until_connections_are_reusable();
+        client.send(&[
+            "CACHE.GET",
+            &format!("key-{}", number % 3),
+            &format!("{number:016x}"),
+            "c=read,d=60000",
+        ]);
+        assert_eq!(client.read_reply().as_deref(), Some("the same value"));
+    }
+    assert_eq!(*attempts.lock().unwrap(), ROUNDS, "requests are repeated");
+}
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -17,6 +17,7 @@
 use crate::upstream::attempt;
 use crate::upstream::connection::ServerConnection;
 use crate::upstream::directory::Target;
+use crate::upstream::reply_identity::RequestIdentity;
 use crate::upstream::send_permit::{SendConditions, SendStart};
 
 /// An attempt that the balancer has requested.
@@ -68,7 +69,8 @@
             self.on_client_disconnected(id);
             return self.report_end(attempt, AttemptOutcome::NOT_MADE);
         }
-        let Some((target, pooled)) = self.check_out(server, now, conditions) else {
+        let identity = RequestIdentity::new(&open.request, open.idempotency);
+        let Some((target, pooled)) = self.check_out(server, &identity, now, conditions) else {
             return self.report_end(attempt, AttemptOutcome::NOT_MADE);
         };
         let timer = self.timers.insert_at(Timer::AttemptTimeout(attempt), due);
@@ -103,10 +105,11 @@
     fn check_out(
         &mut self,
         server: ServerId,
+        request: &RequestIdentity,
         now: Instant,
         conditions: SendConditions,
     ) -> Option<(Target, Option<ServerConnection>)> {
-        let (target, pooled) = self.directory.check_out(server, now, conditions)?;
+        let (target, pooled) = self.directory.check_out(server, request, now, conditions)?;
         let connections = self.attempts_in_flight + self.directory.idle_connections();
         self.server_connections.store(connections, Ordering::Relaxed);
         if pooled.is_none() && connections >= self.max_connections {
@@ -138,6 +141,7 @@
             target,
             pooled,
             request: open.request.clone(),
+            identity: RequestIdentity::new(&open.request, open.idempotency),
             deadline,
             connect_timeout: Duration::from_micros(self.settings.connect_timeout),
             metrics: self.metrics.clone(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -53,6 +53,10 @@
     pub(crate) unsolicited_replies: Counter,
     /// Commands that were read and dropped, because there was no memory for them in time.
     pub(crate) discarded_commands: Counter,
+    /// Replies that may be a second copy of the one before on their connection, and were not passed on.
+    pub(crate) repeated_replies: Counter,
+    /// Connections to servers that were opened.
+    pub(crate) opened_connections: Counter,
     /// Values that were held back for the replies behind them and were not complete in time. Their requests failed.
     pub(crate) incomplete_held_values: Counter,
     /// Connections reused so soon that an unsolicited reply could still arrive on them.
@@ -170,6 +174,8 @@
             ("svc_reused_soon_total", "counter", self.early_reuses.get()),
             ("svc_commands_discarded_total", "counter", self.discarded_commands.get()),
             ("svc_held_values_failed_total", "counter", self.incomplete_held_values.get()),
+            ("svc_repeated_replies_total", "counter", self.repeated_replies.get()),
+            ("svc_connections_opened_total", "counter", self.opened_connections.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed_servers.get()),
             ("svc_hosts_down", "gauge", self.unavailable_servers.get()),
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -9,6 +9,7 @@
 
 use super::connection::ServerConnection;
 use super::directory::Target;
+use super::reply_identity::RequestIdentity;
 use crate::memory_budget::BufferedValue;
 use crate::metrics::Metrics;
 use crate::relay::RelayContext;
@@ -42,6 +43,7 @@
     pub(crate) pooled: Option<ServerConnection>,
     /// The request.
     pub(crate) request: Arc<ClientRequest>,
+    pub(crate) identity: RequestIdentity,
     /// When the attempt's time is over. The request states the time left until then to the server.
     pub(crate) deadline: Instant,
     /// How long to wait for a new connection.
@@ -57,23 +59,26 @@
     ///
     /// Cancelling closes the connection. The server may have received the request.
     pub(crate) async fn run(self) -> (AttemptResult, Option<ServerConnection>) {
-        let Attempt { target, pooled, request, deadline, connect_timeout, metrics, relay } = self;
+        let Attempt { target, pooled, request, identity, deadline, connect_timeout, metrics, relay } = self;
         let connection = match pooled {
             Some(connection) => connection,
             None => match connect(&target, connect_timeout).await {
-                Ok(connection) => connection,
+                Ok(connection) => {
+                    metrics.opened_connections.increment();
+                    connection
+                }
                 Err(outcome) => return (AttemptResult::of(outcome), None),
             },
         };
         match connection {
             ServerConnection::Cache(connection) => {
                 let (result, connection) =
-                    connection.request(&request, deadline, target.permit, &metrics, relay).await;
+                    connection.request(&request, identity, deadline, target.permit, &metrics, relay).await;
                 (result, connection.map(ServerConnection::Cache))
             }
             ServerConnection::Origin(connection) => {
                 let (result, connection) =
-                    connection.request(&request, deadline, target, &metrics, relay).await;
+                    connection.request(&request, identity, deadline, target, &metrics, relay).await;
                 (result, connection.map(ServerConnection::Origin))
             }
         }
--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use stonefold_balancer::Idempotency;
 use stonefold_net::Socket;
 use tokio::net::TcpListener;
 
@@ -58,6 +59,8 @@
         // The client disconnects and the thread blocks, so that no socket is polled before the attempt runs.
         drop(client);
         thread::sleep(STALL);
+        let request = Arc::new(request());
+        let identity = RequestIdentity::new(&request, Idempotency::Idempotent);
         let relay = RelayContext {
             budget: MemoryBudget::new(0),
             reservation: ReplyReservation::default(),
@@ -65,10 +68,17 @@
             on_start: Box::new(|_| {}),
         };
         let deadline = Instant::now() + WAIT;
-        let request = Arc::new(request());
         let connect_timeout = WAIT;
-        let attempt =
-            Attempt { target, pooled: Some(pooled), request, deadline, connect_timeout, metrics, relay };
+        let attempt = Attempt {
+            target,
+            pooled: Some(pooled),
+            request,
+            identity,
+            deadline,
+            connect_timeout,
+            metrics,
+            relay,
+        };
         attempt.run().await.0.outcome
     });
     let outcome =
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -11,7 +11,8 @@
 
 use super::attempt::AttemptResult;
 use super::cache_protocol::{command_header, parse_reply};
-use super::reply_buffer::{CacheReply, NextStep, ReplyBuffer};
+use super::reply_buffer::{NextStep, ReplyBuffer};
+use super::reply_identity::{CopyDetector, LastExchange, ReplyIdentity, RequestIdentity, ServerReply};
 use super::send_permit::{SendPermit, StatedTime};
 use crate::memory_budget::{MAX_ENVELOPE_BYTES, MemoryBudget};
 use crate::metrics::Metrics;
@@ -23,28 +24,41 @@
 const EMPTY_VALUE_REPLY: &[u8] = b"*3\r\n$0\r\n";
 
 /// A connection to a cache server, between requests.
-pub(crate) struct CacheConnection(Socket);
+pub(crate) struct CacheConnection {
+    socket: Socket,
+    last_exchange: Option<LastExchange>,
+}
 
 impl CacheConnection {
     /// Wraps a connected socket.
     pub(crate) fn new(socket: Socket) -> Self {
-        CacheConnection(socket)
+        CacheConnection { socket, last_exchange: None }
     }
 
     /// Whether the connection is open and the server has sent nothing unsolicited. Checks the state of the socket in
     /// the kernel, since the runtime may not have noticed a close yet.
     pub(crate) fn is_reusable(&self) -> bool {
-        self.0.is_idle()
+        self.socket.is_idle()
     }
 
     /// Whether the server has sent bytes that no request asked for, such as a second copy of its reply.
     pub(crate) fn has_unsolicited_bytes(&self) -> bool {
-        self.0.has_unread_bytes()
+        self.socket.has_unread_bytes()
+    }
+
+    /// The last request on the connection and its reply, unless no copy of the reply can arrive any more.
+    pub(crate) fn last_exchange(&self) -> Option<&LastExchange> {
+        self.last_exchange.as_ref()
+    }
+
+    /// Forgets the last exchange, once no copy of its reply can arrive any more.
+    pub(crate) fn forget_last_exchange(&mut self) {
+        self.last_exchange = None;
     }
 
     /// Acknowledges what was received at once, see [`Socket::acknowledge_now`].
     pub(crate) fn acknowledge_now(&self) {
-        self.0.acknowledge_now();
+        self.socket.acknowledge_now();
     }
 
     /// Sends one request, which states the time left until `deadline`, and waits for the reply. Also returns the
@@ -52,6 +66,7 @@
     pub(crate) async fn request(
         mut self,
         request: &ClientRequest,
+        identity: RequestIdentity,
         deadline: Instant,
         permit: SendPermit,
         metrics: &Metrics,
@@ -71,32 +86,44 @@
             value_bytes = request.value.as_ref().map_or(0, Bytes::len), "the request was written to a cache server");
         metrics.attempts_written.increment();
         metrics.deadline_excess.record(stated.excess(Instant::now()));
-        match self.read_reply(relay).await {
-            Ok(CacheReply { result, reusable }) => (result, reusable.then_some(self)),
+        let copies = CopyDetector { last: self.last_exchange, metrics };
+        match self.read_reply(&copies, relay).await {
+            Ok(ServerReply { result, identity: reply, reusable }) => {
+                self.last_exchange = Some(LastExchange { request: identity, reply });
+                (result, reusable.then_some(self))
+            }
             Err(outcome) => (AttemptResult::of(outcome), None),
         }
     }
 
     /// Writes the request with the stated time.
     async fn write_request(&self, request: &ClientRequest, stated: StatedTime) -> io::Result<()> {
-        self.0.write_all(&command_header(request, stated.remaining())).await?;
+        self.socket.write_all(&command_header(request, stated.remaining())).await?;
         if let Some(value) = &request.value {
-            self.0.write_all(value).await?;
-            self.0.write_all(b"\r\n").await?;
+            self.socket.write_all(value).await?;
+            self.socket.write_all(b"\r\n").await?;
         }
         Ok(())
     }
 
     /// Reads a reply. An error is the outcome of the attempt; the connection cannot be used after it.
-    async fn read_reply(&mut self, relay: RelayContext) -> Result<CacheReply, Outcome> {
+    async fn read_reply(
+        &mut self,
+        copies: &CopyDetector<'_>,
+        relay: RelayContext,
+    ) -> Result<ServerReply, Outcome> {
         let mut buffer = ReplyBuffer::new();
         loop {
             match buffer.next_step(&relay)? {
-                NextStep::Read => buffer.read(&self.0).await?,
-                NextStep::Complete(reply) => return Ok(reply),
+                NextStep::Read => buffer.read(&self.socket).await?,
+                NextStep::Complete(reply) => return Ok(copies.checked(reply)),
                 NextStep::Relay { length, first } => {
+                    let identity = ReplyIdentity::relayed(length);
+                    if copies.is_copy(identity) {
+                        return Err(Outcome::ServerError);
+                    }
                     let result = self.relay_value(length, first, relay).await?;
-                    return Ok(CacheReply { result, reusable: true });
+                    return Ok(ServerReply { result, identity, reusable: true });
                 }
             }
         }
@@ -147,7 +174,7 @@
         remaining: usize,
     ) -> Result<Chunk, Outcome> {
         tokio::select! {
-            chunk = budget.read_chunk(&mut self.0, remaining) => chunk.ok().flatten().ok_or(Outcome::ConnectionReset),
+            chunk = budget.read_chunk(&mut self.socket, remaining) => chunk.ok().flatten().ok_or(Outcome::ConnectionReset),
             () = sink.closed() => Err(Outcome::Canceled),
         }
     }
@@ -163,7 +190,7 @@
                 Some(_) => return Err(Outcome::ServerError),
                 None => {}
             }
-            match timeout(PROGRESS_TIMEOUT, self.0.read_buf(&mut buffer)).await {
+            match timeout(PROGRESS_TIMEOUT, self.socket.read_buf(&mut buffer)).await {
                 Ok(Ok(read)) if read > 0 => {}
                 _ => return Err(Outcome::ConnectionReset),
             }
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -7,6 +7,7 @@
 
 use super::cache_connection::CacheConnection;
 use super::origin_connection::OriginConnection;
+use super::reply_identity::LastExchange;
 
 /// A connection to a server, between requests.
 pub(crate) enum ServerConnection {
@@ -46,6 +47,22 @@
         }
     }
 
+    /// The last request on the connection and its reply, unless no copy of the reply can arrive any more.
+    pub(crate) fn last_exchange(&self) -> Option<&LastExchange> {
+        match self {
+            ServerConnection::Cache(connection) => connection.last_exchange(),
+            ServerConnection::Origin(connection) => connection.last_exchange(),
+        }
+    }
+
+    /// Forgets the last exchange, once no copy of its reply can arrive any more.
+    pub(crate) fn forget_last_exchange(&mut self) {
+        match self {
+            ServerConnection::Cache(connection) => connection.forget_last_exchange(),
+            ServerConnection::Origin(connection) => connection.forget_last_exchange(),
+        }
+    }
+
     /// Acknowledges what was received at once. A server without `TCP_NODELAY` holds a second copy of a reply back until
     /// the reply is acknowledged, which would be after the time for which the connection stays idle.
     pub(crate) fn acknowledge_now(&self) {
--- a/crates/node/src/upstream/directory/idle_pool.rs
+++ b/crates/node/src/upstream/directory/idle_pool.rs
@@ -7,14 +7,11 @@
 
 use crate::metrics::Metrics;
 use crate::upstream::connection::ServerConnection;
+use crate::upstream::reply_history::{ReplyHistory, Rest};
+use crate::upstream::reply_identity::RequestIdentity;
 
-/// A connection is not reused before it has been idle for this long. Replies carry no id, so a second copy of the last
-/// one, which servers send up to some milliseconds later, would be taken for the reply to the next request. In this
-/// time the node notices it, as well as a close.
-const MIN_IDLE_TIME: Duration = Duration::from_millis(15);
-
-/// A reuse of a connection that has been idle for less than this counts as early: a second copy of the last reply that is
-/// exceptionally late could still arrive.
+/// A reuse of a connection that has been idle for less than this counts as early: a second copy of the last reply could
+/// still arrive.
 const EARLY_REUSE_TIME: Duration = Duration::from_millis(20);
 
 /// A connection between requests.
@@ -35,21 +32,29 @@
         self.0.push(IdleConnection { since: now, connection });
     }
 
-    /// Takes the most recently used connection that can be reused. Closes those that it finds to be too old or
-    /// unusable.
+    /// Takes the most recently used connection that has rested for long enough for this request. Closes those that it finds
+    /// to be too old or unusable.
     pub(crate) fn take(
         &mut self,
         server: &str,
+        request: &RequestIdentity,
+        replies: &ReplyHistory,
         now: Instant,
         max_idle_time: Duration,
         metrics: &Metrics,
     ) -> Option<ServerConnection> {
-        while let Some(index) = self.0.iter().rposition(|idle| now >= idle.since + MIN_IDLE_TIME) {
-            let idle = self.0.remove(index);
+        let rest = |idle: &IdleConnection| {
+            idle.connection.last_exchange().map_or(Rest::default(), |last| replies.rest(last, request))
+        };
+        while let Some(index) = self.0.iter().rposition(|idle| now >= idle.since + rest(idle).time) {
+            let mut idle = self.0.remove(index);
             if now < idle.since + max_idle_time && is_reusable(server, &idle, now, metrics) {
                 if now < idle.since + EARLY_REUSE_TIME {
                     metrics.early_reuses.increment();
                 }
+                if !rest(&idle).compares {
+                    idle.connection.forget_last_exchange();
+                }
                 return Some(idle.connection);
             }
         }
--- a/crates/node/src/upstream/directory/mod.rs
+++ b/crates/node/src/upstream/directory/mod.rs
@@ -21,6 +21,8 @@
 use server::Server;
 
 use super::connection::ServerConnection;
+use super::reply_history::ReplyHistory;
+use super::reply_identity::RequestIdentity;
 use super::send_permit::{SendConditions, SendPermit};
 use super::start_times::{ListArrival, StartTimeConversion};
 use crate::metrics::Metrics;
@@ -52,6 +54,8 @@
     /// The names of servers that operators have disabled, listed or not. No other server gets the id of one of them.
     disabled: HashMap<ServerId, String>,
     former_names: FormerNames,
+    /// The replies on the connections that were checked in.
+    replies: ReplyHistory,
     /// An idle connection is closed after this time, before the server closes it.
     max_idle_time: Duration,
     metrics: Arc<Metrics>,
@@ -64,6 +68,7 @@
             servers: HashMap::new(),
             disabled: HashMap::new(),
             former_names: FormerNames::default(),
+            replies: ReplyHistory::new(),
             max_idle_time: Duration::ZERO,
             metrics,
         };
@@ -213,16 +218,18 @@
         id
     }
 
-    /// Returns the target for an attempt under these conditions, and an idle connection if there is one. `None` if the
+    /// Returns the target for an attempt under these conditions, and an idle connection if there is one that can carry the
+    /// request. `None` if the
     /// server is not listed.
     pub(crate) fn check_out(
         &mut self,
         id: ServerId,
+        request: &RequestIdentity,
         now: Instant,
         conditions: SendConditions,
     ) -> Option<(Target, Option<ServerConnection>)> {
         let server = self.servers.get_mut(&id)?;
-        let pooled = server.take_idle(now, self.max_idle_time, &self.metrics);
+        let pooled = server.take_idle(request, &self.replies, now, self.max_idle_time, &self.metrics);
         let permit = SendPermit::new(server.serving_flag(), conditions);
         let target = Target { addr: server.addr(), origin: server.is_origin(), permit };
         Some((target, pooled))
@@ -236,6 +243,9 @@
         connection: ServerConnection,
         now: Instant,
     ) {
+        if let Some(exchange) = connection.last_exchange() {
+            self.replies.record(exchange);
+        }
         if let Some(server) = self.servers.get_mut(&id)
             && server.addr() == addr
             && server.is_serving()
--- a/crates/node/src/upstream/directory/server.rs
+++ b/crates/node/src/upstream/directory/server.rs
@@ -11,6 +11,8 @@
 use super::idle_pool::IdlePool;
 use crate::metrics::Metrics;
 use crate::upstream::connection::ServerConnection;
+use crate::upstream::reply_history::ReplyHistory;
+use crate::upstream::reply_identity::RequestIdentity;
 use crate::upstream::send_permit::ServingFlag;
 
 /// A listed server, with its idle connections.
@@ -122,14 +124,16 @@
         self.serving.clone()
     }
 
-    /// Takes an idle connection that can be reused.
+    /// Takes an idle connection on which a request can be sent.
     pub(crate) fn take_idle(
         &mut self,
+        request: &RequestIdentity,
+        replies: &ReplyHistory,
         now: Instant,
         max_idle_time: Duration,
         metrics: &Metrics,
     ) -> Option<ServerConnection> {
-        self.idle.take(&self.name, now, max_idle_time, metrics)
+        self.idle.take(&self.name, request, replies, now, max_idle_time, metrics)
     }
 
     pub(crate) fn add_idle(&mut self, now: Instant, connection: ServerConnection) {
--- a/crates/node/src/upstream/origin_connection.rs
+++ b/crates/node/src/upstream/origin_connection.rs
@@ -5,41 +5,34 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use stonefold_balancer::Outcome;
 use stonefold_net::Socket;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::attempt::AttemptResult;
 use super::directory::Target;
 use super::last_write::{LastWrite, TimedSocket};
-use crate::memory_budget::{BufferedValue, MIN_CHUNK_BYTES, MemoryPermit};
+use super::origin_response::read_response;
+use super::reply_identity::{CopyDetector, LastExchange, RequestIdentity, ServerReply};
 use crate::metrics::Metrics;
-use crate::relay::{
-    Chunk, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
-    value_channel,
-};
+use crate::relay::RelayContext;
 use crate::request::ClientRequest;
 
 /// The header with the id of the request, as its client gave it.
 const REQUEST_ID_HEADER: &str = "X-Correlation-Id";
 /// The header with the metadata of the request.
 const METADATA_HEADER: &str = "X-Facts";
-/// The response header that is `1` if the request was not executed.
-const UNPROCESSED_HEADER: &str = "X-Unprocessed";
 
 /// The read buffer of a connection, in bytes: the least that the HTTP library allows.
 const READ_BUFFER_BYTES: usize = 8 << 10;
-/// The longest value that is buffered without a permit, in bytes. The memory accounted for each open request covers it.
-const MAX_COVERED_VALUE_BYTES: usize = MIN_CHUNK_BYTES;
 
 /// The characters of a key that are percent-encoded in a path.
 const PATH_ESCAPED: &AsciiSet = &CONTROLS
@@ -61,6 +54,7 @@
     socket: Arc<Socket>,
     task: JoinHandle<()>,
     last_write: LastWrite,
+    last_exchange: Option<LastExchange>,
 }
 
 impl Drop for OriginConnection {
@@ -88,7 +82,7 @@
         let task = tokio::spawn(async move {
             let _ = connection.await; // a broken connection fails the request in flight
         });
-        Ok(OriginConnection { sender, socket, task, last_write })
+        Ok(OriginConnection { sender, socket, task, last_write, last_exchange: None })
     }
 
     /// Whether the connection is open and the origin has sent nothing unsolicited. The task ends when it reads such
@@ -102,6 +96,16 @@
         self.socket.has_unread_bytes()
     }
 
+    /// The last request on the connection and its reply, unless no copy of the reply can arrive any more.
+    pub(crate) fn last_exchange(&self) -> Option<&LastExchange> {
+        self.last_exchange.as_ref()
+    }
+
+    /// Forgets the last exchange, once no copy of its reply can arrive any more.
+    pub(crate) fn forget_last_exchange(&mut self) {
+        self.last_exchange = None;
+    }
+
     /// Acknowledges what was received at once, see [`Socket::acknowledge_now`].
     pub(crate) fn acknowledge_now(&self) {
         self.socket.acknowledge_now();
@@ -112,6 +116,7 @@
     pub(crate) async fn request(
         mut self,
         request: &ClientRequest,
+        identity: RequestIdentity,
         deadline: Instant,
         target: Target,
         metrics: &Metrics,
@@ -140,8 +145,12 @@
         if let Some(last_byte) = self.last_write.at() {
             metrics.deadline_excess.record(stated.excess(last_byte));
         }
-        match read_response(response, relay).await {
-            Ok(result) => (result, Some(self)),
+        let copies = CopyDetector { last: self.last_exchange, metrics };
+        match read_response(response, &copies, relay).await {
+            Ok(ServerReply { result, identity: reply, reusable }) => {
+                self.last_exchange = Some(LastExchange { request: identity, reply });
+                (result, reusable.then_some(self))
+            }
             // The connection is closed, since the rest of this response must not be read as the next one.
             Err(outcome) => (AttemptResult::of(outcome), None),
         }
@@ -164,128 +173,3 @@
         .body(Full::new(request.value.clone().unwrap_or_default()))
         .ok()
 }
-
-/// Reads a response. An error is the outcome of the attempt; the connection cannot be used after it.
-async fn read_response(response: Response<Incoming>, relay: RelayContext) -> Result<AttemptResult, Outcome> {
-    let status = response.status();
-    let not_executed = response.headers().get(UNPROCESSED_HEADER).is_some_and(|value| value == "1");
-    let body = response.into_body();
-    if status == StatusCode::OK {
-        return read_value(body, relay).await;
-    }
-    discard_body(body).await?;
-    Ok(match status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_executed => {
-            AttemptResult::of(Outcome::Rejected)
-        }
-        _ => AttemptResult::of(Outcome::ServerError),
-    })
-}
-
-/// Reads the body of a response without a value to its end.
-async fn discard_body(mut body: Incoming) -> Result<(), Outcome> {
-    let mut length = 0;
-    while let Some(bytes) = next_bytes(&mut body).await? {
-        length += bytes.len();
-        if length > MAX_BUFFERED_BYTES {
-            return Err(Outcome::ServerError);
-        }
-    }
-    Ok(())
-}
-
-/// Reads a body that is a value. It is buffered if it is short and there is memory, or if its length is not known, since
-/// RESP2 states the length before the value. Otherwise it is relayed.
-async fn read_value(body: Incoming, relay: RelayContext) -> Result<AttemptResult, Outcome> {
-    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-    let permit = match length {
-        Some(length) if length > MAX_VALUE_BYTES => return Err(Outcome::ServerError),
-        Some(length) if length > MAX_BUFFERED_BYTES => return relay_value(body, length, relay).await,
-        Some(length) if length > MAX_COVERED_VALUE_BYTES => match relay.try_reserve_reply(length) {
-            Some(permit) => Some(permit),
-            None => return relay_value(body, length, relay).await,
-        },
-        Some(_) | None => None,
-    };
-    collect_value(body, permit, relay).await
-}
-
-/// Reads a value completely. `permit` covers it if its length is known and is more than [`MAX_COVERED_VALUE_BYTES`].
-async fn collect_value(
-    mut body: Incoming,
-    mut permit: Option<MemoryPermit>,
-    relay: RelayContext,
-) -> Result<AttemptResult, Outcome> {
-    let mut buffer = BytesMut::with_capacity(permit.as_ref().map_or(0, MemoryPermit::num_permits));
-    while let Some(bytes) = next_bytes(&mut body).await? {
-        let length = buffer.len() + bytes.len();
-        if length > MAX_VALUE_BYTES {
-            return Err(Outcome::ServerError);
-        }
-        let covered = permit.as_ref().map_or(MAX_COVERED_VALUE_BYTES, MemoryPermit::num_permits);
-        if length > covered {
-            let larger = reserve_for_unknown_length(length, &relay).await?;
-            buffer.reserve(larger.num_permits() - buffer.len());
-            permit = Some(larger);
-        }
-        buffer.extend_from_slice(&bytes);
-    }
-    let value = buffer.freeze();
-    if value.len() <= MAX_BUFFERED_BYTES {
-        let value = BufferedValue { bytes: value, permit };
-        return Ok(AttemptResult { value, ..AttemptResult::of(Outcome::Success) });
-    }
-    (relay.on_start)(ValueStream::complete(Chunk::new(value, permit)));
-    Ok(AttemptResult::of(Outcome::Success))
-}
-
-/// Reserves memory for a value of unknown length of which `length` bytes have arrived: for a short one if that is enough
-/// and free, or else for the largest one.
-async fn reserve_for_unknown_length(length: usize, relay: &RelayContext) -> Result<MemoryPermit, Outcome> {
-    let short = if length <= MAX_BUFFERED_BYTES { relay.try_reserve_reply(MAX_BUFFERED_BYTES) } else { None };
-    match short {
-        Some(permit) => Ok(permit),
-        None => relay.reserve_largest_value().await.map_err(|_| Outcome::ConnectionReset),
-    }
-}
-
-/// Reads the next part of a body; `None` at its end.
-async fn next_bytes(body: &mut Incoming) -> Result<Option<Bytes>, Outcome> {
-    loop {
-        let frame = timeout(PROGRESS_TIMEOUT, body.frame()).await.map_err(|_| Outcome::ConnectionReset)?;
-        let Some(frame) = frame else { return Ok(None) };
-        if let Ok(bytes) = frame.map_err(|_| Outcome::ConnectionReset)?.into_data() {
-            return Ok(Some(bytes));
-        }
-    }
-}
-
-/// Relays a large value of known length as it arrives.
-async fn relay_value(
-    mut body: Incoming,
-    length: usize,
-    relay: RelayContext,
-) -> Result<AttemptResult, Outcome> {
-    let RelayContext { budget, on_start, .. } = relay;
-    let (sink, stream) = value_channel(length);
-    let mut start = Some((on_start, stream));
-    let mut remaining = length;
-    while remaining > 0 {
-        let frame = tokio::select! {
-            frame = timeout(PROGRESS_TIMEOUT, body.frame()) => frame,
-            () = sink.closed() => return Err(Outcome::Canceled),
-        };
-        let frame = frame.ok().flatten().and_then(Result::ok).ok_or(Outcome::ConnectionReset)?;
-        let Ok(mut bytes) = frame.into_data() else { continue };
-        remaining = remaining.checked_sub(bytes.len()).ok_or(Outcome::ServerError)?;
-        while !bytes.is_empty() {
-            let slot = sink.slot().await.map_err(|ReceiverDropped| Outcome::Canceled)?;
-            let chunk = budget.next_chunk(&mut bytes);
-            if let Some((on_start, stream)) = start.take() {
-                on_start(stream);
-            }
-            slot.send(chunk);
-        }
-    }
-    Ok(AttemptResult::of(Outcome::Success))
-}
--- a/crates/node/src/upstream/reply_buffer.rs
+++ b/crates/node/src/upstream/reply_buffer.rs
@@ -1,12 +1,13 @@
 //! The part of a cache server's reply that has been read, within the memory budget.
 
 use bytes::{Buf, Bytes, BytesMut};
+use redis_protocol::resp2::types::BytesFrame;
 use stonefold_balancer::Outcome;
 use stonefold_net::Socket;
 use stonefold_proto::resp::decode_frame;
 
-use super::attempt::AttemptResult;
 use super::cache_protocol::{ValueHeader, parse_reply};
+use super::reply_identity::{ReplyIdentity, ServerReply};
 use crate::memory_budget::{MAX_ENVELOPE_BYTES, MAX_REPLY_BYTES, MIN_CHUNK_BYTES, MemoryPermit};
 use crate::relay::{MAX_BUFFERED_BYTES, RelayContext};
 
@@ -29,14 +30,7 @@
         first: Bytes,
     },
     /// It is complete.
-    Complete(CacheReply),
-}
-
-/// A reply that was read completely.
-pub(crate) struct CacheReply {
-    pub(crate) result: AttemptResult,
-    /// Whether the connection can be used for another request.
-    pub(crate) reusable: bool,
+    Complete(ServerReply),
 }
 
 /// The part of a reply that has been read.
@@ -102,9 +96,22 @@
             return if self.permit.is_some() { self.take_reply(relay) } else { Err(Outcome::ServerError) };
         }
         let Some(frame) = decoded.map_err(|_| Outcome::ServerError)? else { return Ok(NextStep::Read) };
+        let identity = identity_of(&frame);
         let mut result = parse_reply(frame).map_err(|_| Outcome::ServerError)?;
         result.value.permit = self.permit.take();
-        Ok(NextStep::Complete(CacheReply { result, reusable: self.bytes.is_empty() }))
+        Ok(NextStep::Complete(ServerReply { result, identity, reusable: self.bytes.is_empty() }))
+    }
+}
+
+/// The identity of a reply, without its load report, which changes from time to time.
+fn identity_of(reply: &BytesFrame) -> ReplyIdentity {
+    match reply {
+        BytesFrame::Array(elements) => match elements.first() {
+            Some(BytesFrame::BulkString(value)) => ReplyIdentity::buffered(value),
+            _ => ReplyIdentity::Miss,
+        },
+        BytesFrame::Error(text) => ReplyIdentity::error(text.as_bytes()),
+        _ => ReplyIdentity::error(b""),
     }
 }
 
