Count the late answers of a slow discovery, in place of giving each poll up

Cause: a poll was given up after 2.2 s, and a watch 1 s after its wait, whether lost or only slow. Its answer was thrown away, and the next poll was as slow. The same held for a node that started then.

Change: an overdue poll is repeated as before, but stays in flight and its answer counts for 6 s more; the poll made meanwhile stays in flight too. Polls are overdue later where the last answer was late, as far as the 6 s allow.

--- a/crates/node/src/discovery/poll_schedule.rs
+++ b/crates/node/src/discovery/poll_schedule.rs
@@ -3,7 +3,11 @@
 //! A change must reach the node within [`NOTIFICATION_DEADLINE`] after discovery has it and can be reached, even if the
 //! poll in flight fails. Therefore a failed poll and the next one begin at most [`MAX_POLL_SPACING`] apart, which
 //! includes the connect, queueing and answer of the first and the backoff, and the second is answered within
-//! [`POLL_TIMEOUT`]. If the failed poll is a watch that has fallen silent, it times out [`WATCH_SLACK`] after its wait.
+//! [`POLL_TIMEOUT`]. If the failed poll is a watch that has fallen silent, it is overdue [`WATCH_SLACK`] after its wait.
+//!
+//! An overdue poll may be lost or only slow. So its answer still counts for [`LATE_ANSWER_LIMIT`], while the next poll is
+//! in flight: a discovery that answers later than [`POLL_TIMEOUT`] would not be heard otherwise. Where its answers are
+//! late, polls are overdue later, as far as the deadline allows.
 //!
 //! Discovery is shared by all nodes and answers one poll at a time. The backoff has full jitter and grows with the
 //! number of nodes, so that their polls spread over the available time. A watch waits as long as the deadline allows,
@@ -18,11 +22,15 @@
 /// The maximum time between the starts of a failed poll and of the next one. It does not apply if the failed poll is a
 /// watch that broke after having been open for longer.
 const MAX_POLL_SPACING: Duration = Duration::from_millis(3_500);
-/// The timeout of a poll that does not wait for changes, including connect and queueing. Discovery may queue a poll for
-/// about 2 s; a shorter timeout would abandon polls shortly before their answer.
+/// The time after which a poll that does not wait for changes is overdue, including connect and queueing. Discovery may
+/// queue a poll for about 2 s; a shorter time would repeat polls shortly before their answer.
 const POLL_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// The time after the end of its wait at which a watch times out.
+/// The time after the end of its wait at which a watch is overdue.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// A poll is not overdue for this long after the time at which the last answers came.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// How long the answer to an overdue poll still counts.
+pub(super) const LATE_ANSWER_LIMIT: Duration = NOTIFICATION_DEADLINE;
 /// The timeout of a connect to discovery.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The timeout for the body of an answer. Without it, a body that stalls would take as long as a watch to time out.
@@ -50,14 +58,14 @@
 /// The maximum number of times that the backoff doubles.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 
-/// The part of the deadline that the timeouts leave unused, in milliseconds.
-const DEADLINE_MARGIN_MS: u128 = 300;
+/// The part of the deadline that the timeouts leave unused.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Checks that the timeouts fit into the deadline and leave the margin. The changes that a silent watch has missed are
 /// due at the deadline, or 2 s after the end of the watch's wait if that is later. After a silent watch of a pushed
 /// list, the next poll is complete by the deadline.
 const _: () = {
-    let deadline = NOTIFICATION_DEADLINE.as_millis() - DEADLINE_MARGIN_MS;
+    let deadline = NOTIFICATION_DEADLINE.as_millis() - DEADLINE_MARGIN.as_millis();
     assert!(MAX_POLL_SPACING.as_millis() + POLL_TIMEOUT.as_millis() <= deadline);
     assert!(MIN_WATCH_WAIT.as_millis() + WATCH_SLACK.as_millis() + POLL_TIMEOUT.as_millis() <= deadline);
     assert!(BODY_TIMEOUT.as_millis() + POLL_TIMEOUT.as_millis() <= deadline);
@@ -72,8 +80,8 @@
     pub(super) backoff: Duration,
     /// How long discovery may wait for changes before it answers. If zero, it answers at once with the changes it has.
     pub(super) wait: Duration,
-    /// The time from its start after which the poll times out.
-    pub(super) timeout: Duration,
+    /// The time from its start after which the poll is overdue, and the next one is made.
+    pub(super) overdue_after: Duration,
 }
 
 /// How a poll ended.
@@ -85,7 +93,7 @@
     Rejected,
     /// The connection could not be opened or broke, or the answer can't be read.
     Broken,
-    /// The connection or the answer was not complete within its timeout.
+    /// The poll is overdue, or the connection or the answer was not complete within its timeout.
     TimedOut,
 }
 
@@ -104,6 +112,8 @@
     /// How long a watch waits for changes where an agent pushes the lists ([`DiscoverySettings::watch`] is false). It
     /// grows while discovery is overloaded.
     adaptive_watch_wait: Duration,
+    /// How late the last answer was: how long it took, beyond the wait of a watch.
+    answer_delay: Duration,
 }
 
 impl PollSchedule {
@@ -115,6 +125,7 @@
             immediate,
             missed_changes: false,
             adaptive_watch_wait: MIN_WATCH_WAIT,
+            answer_delay: Duration::ZERO,
         }
     }
 
@@ -142,14 +153,32 @@
     pub(super) fn next(&self, settings: DiscoverySettings, rng: &mut fastrand::Rng) -> Poll {
         let backoff = self.max_backoff(settings).mul_f64(rng.f64());
         if self.immediate {
-            return Poll { backoff, wait: Duration::ZERO, timeout: POLL_TIMEOUT };
+            return Poll { backoff, wait: Duration::ZERO, overdue_after: self.immediate_overdue_after() };
         }
         let wait = self.watch_wait(settings, rng.f64());
-        Poll { backoff, wait, timeout: wait + WATCH_SLACK }
+        Poll { backoff, wait, overdue_after: wait + WATCH_SLACK }
+    }
+
+    /// When a poll that does not wait is overdue: [`POLL_TIMEOUT`], or later where answers take longer and the deadline
+    /// allows it.
+    fn immediate_overdue_after(&self) -> Duration {
+        (self.answer_delay + ANSWER_MARGIN).min(self.max_spacing()).max(POLL_TIMEOUT)
+    }
+
+    /// The poll that stays in flight when one that was started before it is answered late. It is not overdue before the
+    /// time that such an answer takes, or else each poll would be followed by another one.
+    pub(super) fn after_late_answer(&self, poll: Poll) -> Poll {
+        Poll { overdue_after: poll.overdue_after.max(self.answer_delay + ANSWER_MARGIN), ..poll }
+    }
+
+    /// The maximum time between the starts of a failed poll and of the next one: [`MAX_POLL_SPACING`], or less where the
+    /// answer to the next one takes longer than [`POLL_TIMEOUT`].
+    fn max_spacing(&self) -> Duration {
+        MAX_POLL_SPACING.saturating_sub(self.answer_delay.saturating_sub(POLL_TIMEOUT))
     }
 
-    /// The upper bound of the next backoff. It doubles with each failure, up to the part of [`MAX_POLL_SPACING`] that
-    /// the failed poll has left. After an answer it is zero, since a change that happens before the next watch is open
+    /// The upper bound of the next backoff. It doubles with each failure, up to the part of the maximum spacing that the
+    /// failed poll has left. After an answer it is zero, since a change that happens before the next watch is open
     /// must not be delayed by a backoff.
     fn max_backoff(&self, settings: DiscoverySettings) -> Duration {
         let Some(doublings) = self.failures.checked_sub(1) else { return Duration::ZERO };
@@ -157,7 +186,7 @@
         let initial =
             if self.missed_changes { INITIAL_BACKOFF_WITH_MISSED_CHANGES } else { INITIAL_BACKOFF * steps };
         let doubled = initial.saturating_mul(1 << doublings.min(MAX_BACKOFF_DOUBLINGS));
-        doubled.min(MAX_POLL_SPACING.saturating_sub(self.spacing_used))
+        doubled.min(self.max_spacing().saturating_sub(self.spacing_used))
     }
 
     /// How long a watch waits for changes; `jitter` is 0 to 1.
@@ -175,8 +204,11 @@
     /// Records how a poll has ended, and how long it took.
     pub(super) fn on_end(&mut self, poll: Poll, outcome: PollOutcome, took: Duration) {
         if outcome == PollOutcome::Answered {
-            *self =
-                PollSchedule { adaptive_watch_wait: self.adaptive_watch_wait, ..PollSchedule::new(false) };
+            *self = PollSchedule {
+                adaptive_watch_wait: self.adaptive_watch_wait,
+                answer_delay: took.checked_sub(poll.wait).unwrap_or(self.answer_delay),
+                ..PollSchedule::new(false)
+            };
             // An answer before the end of the wait has a change, and does not show whether polls queue at discovery.
             if !poll.wait.is_zero() && took >= poll.wait {
                 self.adapt_watch_wait(took - poll.wait > OVERLOAD_DELAY);
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod notification_deadline;
 mod schedule;
+mod slow_answers;
 
 /// A running watcher, and the listener and channels with which a test acts as discovery, balancer and configuration.
 struct Harness {
@@ -96,13 +97,21 @@
 
 /// Reads a poll; returns how long it waits for changes.
 async fn read_poll(stream: &mut TcpStream) -> Duration {
+    next_poll(stream).await.expect("a poll before the end of the connection")
+}
+
+/// Reads a poll; returns how long it waits for changes, or `None` at the end of the connection.
+async fn next_poll(stream: &mut TcpStream) -> Option<Duration> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
-        assert!(timeout(MAX_WAIT, stream.read_buf(&mut text)).await.expect("a poll").unwrap() > 0);
+        let read = timeout(MAX_WAIT, stream.read_buf(&mut text)).await.expect("a poll");
+        if read.unwrap_or(0) == 0 {
+            return None;
+        }
     }
     let text = String::from_utf8(text).unwrap();
     let wait = text.split_once("wait_ms=").map_or("0", |(_, rest)| rest.split(' ').next().unwrap());
-    Duration::from_millis(wait.parse().unwrap())
+    Some(Duration::from_millis(wait.parse().unwrap()))
 }
 
 /// An answer with a change.
--- a/crates/node/src/discovery/tests/fleet.rs
+++ b/crates/node/src/discovery/tests/fleet.rs
@@ -8,7 +8,8 @@
 use stonefold_model::site::DiscoveryKind;
 use stonefold_model::{Discovery, Listed, State};
 
-use crate::discovery::poll_schedule::{CONNECT_TIMEOUT, Poll, PollOutcome, PollSchedule};
+use crate::discovery::late_polls::MAX_LATE_POLLS;
+use crate::discovery::poll_schedule::{CONNECT_TIMEOUT, LATE_ANSWER_LIMIT, Poll, PollOutcome, PollSchedule};
 use crate::message::DiscoverySettings;
 
 mod scenario;
@@ -48,10 +49,20 @@
     poll_started: Micros,
     state: PollState,
     version: u64,
+    /// The overdue polls that may still be answered, the oldest first.
+    late_polls: Vec<LatePoll>,
     /// The earliest time at which changes that the node's silent watch has missed are due.
     missed_changes_due: Micros,
 }
 
+/// An overdue poll that may still be answered.
+struct LatePoll {
+    number: u64,
+    poll: Poll,
+    started: Micros,
+    state: PollState,
+}
+
 /// The results of one fleet in one scenario.
 #[derive(Default)]
 struct FleetStats {
@@ -96,11 +107,12 @@
         let node = |index: usize| Node {
             schedule: PollSchedule::new(!settings.watch),
             rng: fastrand::Rng::with_seed(seed ^ (index as u64 + 1) << 20),
-            poll: Poll { backoff: Duration::ZERO, wait: Duration::ZERO, timeout: Duration::ZERO },
+            poll: Poll { backoff: Duration::ZERO, wait: Duration::ZERO, overdue_after: Duration::ZERO },
             poll_number: 0,
             poll_started: 0,
             state: PollState::Idle,
             version: 1,
+            late_polls: Vec::new(),
             missed_changes_due: 0,
         };
         let mut fleet = Fleet {
@@ -163,9 +175,13 @@
                 Event::WaitOver(node, poll_number) if self.is_current(node, poll_number, PollState::Open) => {
                     self.answer(node);
                 }
+                Event::Dequeued(node, poll_number) => self.dequeue_late(node, poll_number),
+                Event::WaitOver(node, poll_number) => {
+                    self.answer_late(node, poll_number, |state| state == PollState::Open);
+                }
                 Event::TimedOut(node, poll_number) if self.nodes[node].poll_number == poll_number => {
                     if self.nodes[node].state != PollState::Idle {
-                        self.end(node, PollOutcome::TimedOut);
+                        self.time_out(node);
                     }
                 }
                 Event::Change => self.change(),
@@ -176,7 +192,7 @@
                     self.silence_watches();
                 }
                 Event::OtherPoll => _ = self.discovery.call(now),
-                Event::Dequeued(..) | Event::WaitOver(..) | Event::TimedOut(..) => {}
+                Event::TimedOut(..) => {}
             }
         }
         // A change that never reached a node counts as received at the end.
@@ -203,7 +219,7 @@
         }
         let node = &mut self.nodes[index];
         (node.poll_number, node.poll_started, node.state) = (node.poll_number + 1, now, PollState::Queued);
-        let (poll_number, timeout) = (node.poll_number, node.poll.timeout.as_micros() as Micros);
+        let (poll_number, timeout) = (node.poll_number, node.poll.overdue_after.as_micros() as Micros);
         if now < self.blackholed_until {
             node.state = PollState::Lost;
             return self.schedule(
@@ -236,7 +252,57 @@
         self.schedule(wait_end, Event::WaitOver(index, poll_number));
     }
 
+    /// Keeps the overdue poll of a node, and begins the next one.
+    fn time_out(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let late = LatePoll {
+            number: node.poll_number,
+            poll: node.poll,
+            started: node.poll_started,
+            state: node.state,
+        };
+        if node.late_polls.len() == MAX_LATE_POLLS {
+            node.late_polls.remove(0);
+        }
+        node.late_polls.push(late);
+        self.end(index, PollOutcome::TimedOut);
+    }
+
+    fn dequeue_late(&mut self, index: usize, number: u64) {
+        let version = self.discovery.version();
+        let node = &mut self.nodes[index];
+        let Some(late) = node.late_polls.iter_mut().find(|late| late.number == number) else { return };
+        if late.state != PollState::Queued {
+            return;
+        }
+        late.state = PollState::Open;
+        if !late.poll.wait.is_zero() && node.version == version {
+            let wait_end = self.now + late.poll.wait.as_micros() as Micros;
+            return self.schedule(wait_end, Event::WaitOver(index, number));
+        }
+        self.answer_late(index, number, |state| state == PollState::Open);
+    }
+
+    /// Answers an overdue poll in one of these states, unless the node has given it up.
+    fn answer_late(&mut self, index: usize, number: u64, which: impl Fn(PollState) -> bool) {
+        let node = &mut self.nodes[index];
+        let Some(late) = node.late_polls.iter().find(|late| late.number == number && which(late.state))
+        else {
+            return;
+        };
+        let overdue_at = late.started + late.poll.overdue_after.as_micros() as Micros;
+        if self.now > overdue_at + LATE_ANSWER_LIMIT.as_micros() as Micros {
+            return;
+        }
+        let took = Duration::from_micros(self.now - late.started);
+        let poll = late.poll;
+        node.late_polls.retain(|late| late.number > number);
+        node.schedule.on_end(poll, PollOutcome::Answered, took);
+        self.receive_list(index, self.discovery.version());
+    }
+
     fn answer(&mut self, index: usize) {
+        self.nodes[index].late_polls.clear();
         self.receive_list(index, self.discovery.version());
         self.end(index, PollOutcome::Answered);
     }
@@ -271,12 +337,23 @@
         self.changes.push(self.now.max(self.down_until));
         if self.now >= self.down_until {
             self.for_each_in(|state| state == PollState::Open, Fleet::answer);
+            self.answer_open_late_polls();
+        }
+    }
+
+    fn answer_open_late_polls(&mut self) {
+        for index in 0..self.nodes.len() {
+            let mut open = self.nodes[index].late_polls.iter().filter(|late| late.state == PollState::Open);
+            if let Some(number) = open.next().map(|late| late.number) {
+                self.answer_late(index, number, |state| state == PollState::Open);
+            }
         }
     }
 
     fn take_discovery_down(&mut self) {
         self.down_until = self.now + FAULT_DURATION;
         self.discovery.set_unavailable_until(self.down_until);
+        self.nodes.iter_mut().for_each(|node| node.late_polls.clear());
         self.for_each_in(
             |state| state != PollState::Idle,
             |fleet, index| fleet.end(index, PollOutcome::Broken),
@@ -284,6 +361,7 @@
     }
 
     fn silence_watches(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.late_polls.clear());
         for node in self.nodes.iter_mut().filter(|node| node.state == PollState::Open) {
             node.state = PollState::Lost;
             // A watch of a shared discovery may wait for long. The changes that it misses are due 2 s after its wait.
--- a/crates/node/src/discovery/tests/schedule.rs
+++ b/crates/node/src/discovery/tests/schedule.rs
@@ -119,14 +119,14 @@
         for _ in 0..20 {
             let poll = schedule.next(settings, &mut rng);
             let outcome = [PollOutcome::Rejected, PollOutcome::Broken, PollOutcome::TimedOut][rng.usize(..3)];
-            let took = if rng.bool() { poll.timeout } else { poll.timeout.mul_f64(rng.f64()) };
+            let took = if rng.bool() { poll.overdue_after } else { poll.overdue_after.mul_f64(rng.f64()) };
             schedule.on_end(poll, outcome, took);
             let again = schedule.next(settings, &mut rng);
             if outcome == PollOutcome::TimedOut {
                 assert!(again.wait.is_zero(), "a poll after a timeout must not wait for changes");
             }
             let next = Duration::from_millis(2_200); // connect, queueing and answer
-            assert!(again.timeout >= next || !again.wait.is_zero(), "{again:?}");
+            assert!(again.overdue_after >= next || !again.wait.is_zero(), "{again:?}");
             let spent = if poll.wait.is_zero() { took } else { Duration::ZERO };
             assert!(
                 spent + again.backoff + next <= Duration::from_millis(5_700),
