Keep asking for the full list after a late answer shows that discovery restarted

What was found: by reading the change again. A late answer with a lower version shows that discovery's versions have restarted, so that the full list is needed. The poll that was in flight then still asked for changes; its answer, no lower than the new version, ended the wish for the full list, and the node would have kept servers that discovery had dropped.

Cause: any answer that was not lower than the known version counted as continuing it. That held while one poll was in flight at a time.

Change: only a full list ends the need for one. The test of late changes waits with a bound, so that it fails in place of never ending.

Result: full_list_is_requested_after_a_late_answer_shows_a_restart failed before (the next request was a watch) and passes, as the other tests of discovery do.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -213,8 +213,9 @@
 
     /// Records the version of a list, and logs the first list with unreadable entries.
     fn record_list(&mut self, list: &EndpointList) {
-        // A lower version shows that discovery's versions have restarted. The changes until then are not known.
-        self.needs_full_list = !list.full && list.version < self.version;
+        // A lower version shows that discovery's versions have restarted. The changes until then are not known, and only a
+        // full list makes up for them: a poll in flight may still bring changes since the version before the restart.
+        self.needs_full_list = !list.full && (self.needs_full_list || list.version < self.version);
         self.version = list.version;
         if list.skipped > 0 && !self.logged_unreadable {
             warn!(
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -100,16 +100,21 @@
     next_poll(stream).await.expect("a poll before the end of the connection")
 }
 
-/// Reads a poll; returns how long it waits for changes, or `None` at the end of the connection.
-async fn next_poll(stream: &mut TcpStream) -> Option<Duration> {
+/// Reads the head of a request, or what precedes the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         let read = timeout(MAX_WAIT, stream.read_buf(&mut text)).await.expect("a poll");
         if read.unwrap_or(0) == 0 {
-            return None;
+            break;
         }
     }
-    let text = String::from_utf8(text).unwrap();
+    String::from_utf8(text).unwrap()
+}
+
+/// Reads a poll; returns how long it waits for changes, or `None` at the end of the connection.
+async fn next_poll(stream: &mut TcpStream) -> Option<Duration> {
+    let text = Some(read_request(stream).await).filter(|text| text.ends_with("\r\n\r\n"))?;
     let wait = text.split_once("wait_ms=").map_or("0", |(_, rest)| rest.split(' ').next().unwrap());
     Some(Duration::from_millis(wait.parse().unwrap()))
 }
--- a/crates/node/src/discovery/tests/notification_deadline.rs
+++ b/crates/node/src/discovery/tests/notification_deadline.rs
@@ -15,8 +15,8 @@
 
 /// How long discovery queues a poll.
 const QUEUEING: Duration = Duration::from_millis(1_500);
-const DEADLINE: Duration = Duration::from_secs(6);
-const NO_CHANGES: &str =
+pub(super) const DEADLINE: Duration = Duration::from_secs(6);
+pub(super) const NO_CHANGES: &str =
     "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":41,\"full\":false,\"servers\":[]}";
 
 fn cases() -> impl Iterator<Item = Case> {
@@ -79,7 +79,7 @@
 }
 
 /// Waits until the change has reached the node.
-async fn change_received(messages: &mut UnboundedReceiver<Message>) {
+pub(super) async fn change_received(messages: &mut UnboundedReceiver<Message>) {
     loop {
         match messages.recv().await.expect("the watcher runs") {
             Message::EndpointList(list) if list.version == 42 => return,
--- a/crates/node/src/discovery/tests/slow_answers.rs
+++ b/crates/node/src/discovery/tests/slow_answers.rs
@@ -7,15 +7,12 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{CHANGE, Case, Harness, next_poll};
-use crate::message::Message;
+use super::notification_deadline::{DEADLINE, NO_CHANGES, change_received};
+use super::{CHANGE, Case, Harness, MAX_WAIT, next_poll, read_request};
 
-const DEADLINE: Duration = Duration::from_secs(6);
-const NO_CHANGES: &str =
-    "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":41,\"full\":false,\"servers\":[]}";
 /// The polls that discovery can answer at the best, per second and node.
 const CAPACITY: f64 = 0.3;
 /// How often the stand-in for discovery looks for the change.
@@ -70,14 +67,12 @@
     let polls = discovery.polls.load(Ordering::Relaxed) as f64 / quiet.as_secs_f64();
     discovery.changed.store(true, Ordering::Relaxed);
     let changed = Instant::now();
-    loop {
-        match messages.recv().await.expect("the watcher runs") {
-            Message::EndpointList(list) if list.version == 42 => break,
-            _ => {}
-        }
-    }
+    let received = timeout(MAX_WAIT, change_received(&mut messages)).await;
     let age = changed.elapsed();
-    assert!(age < DEADLINE, "{case:?}, answers after {queueing:?}, quiet for {quiet:?}: {age:?}");
+    assert!(
+        received.is_ok() && age < DEADLINE,
+        "{case:?}, answers after {queueing:?}, quiet for {quiet:?}: {age:?}"
+    );
     polls
 }
 
@@ -108,3 +103,19 @@
         }
     }
 }
+
+/// Guards against a node without the full list after discovery's versions have restarted: changes that were requested before
+/// the restart was known must not count as the full list.
+#[tokio::test(start_paused = true)]
+async fn full_list_is_requested_after_a_late_answer_shows_a_restart() {
+    const RESTARTED: &str =
+        "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n{\"version\":3,\"full\":false,\"servers\":[]}";
+    let harness = Harness::start(Case::small(false)).await;
+    let (mut overdue, _) = harness.accept_poll().await;
+    let (mut unanswered, _) = harness.accept_poll().await; // made once the first one was overdue
+    for stream in [&mut overdue, &mut unanswered] {
+        stream.write_all(RESTARTED.as_bytes()).await.unwrap();
+    }
+    let request = read_request(&mut unanswered).await;
+    assert!(request.starts_with("GET /discovery/hosts "), "{request}");
+}
