Show late answers and unbuffered values to operators, and release what they held

Nothing told an operator that discovery's late answers are in use, or that replies are relayed because the memory for them is used up. The memory reserved for the reply to a client that had disconnected was held until its attempts ended.

Cause: the mends counted what failed and not what they fall back to; the end of a request by its client did not go through the response.

Change: event discovery_answered_late, svc_values_unbuffered_total; a disconnect releases the reservation. One constant stood in two modules, and the identity of a request was made in two places.

Result: the tests of the node pass.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::message::{Message, SharedSettings};
 
@@ -139,7 +139,7 @@
         let result = tokio::select! {
             biased;
             (late, answer) = self.late_polls.next_answer() => {
-                let message = self.on_answer(&late, answer);
+                let message = self.on_late_answer(&late, answer);
                 current.poll = self.schedule.after_late_answer(current.poll);
                 self.unanswered = Some(current); // it has its turn at discovery soon
                 return message;
@@ -170,7 +170,7 @@
             tokio::select! {
                 biased;
                 (late, answer) = self.late_polls.next_answer() => {
-                    return NextPoll::LateAnswer(self.on_answer(&late, answer));
+                    return NextPoll::LateAnswer(self.on_late_answer(&late, answer));
                 }
                 () = sleep(poll.backoff) => {}
             }
@@ -194,6 +194,14 @@
         PollInFlight { poll, started: Instant::now(), answer }
     }
 
+    /// Handles the answer to an overdue poll.
+    fn on_late_answer(&mut self, poll: &PollInFlight, answer: (EndpointList, Connection)) -> Message {
+        let took_ms = poll.started.elapsed().as_millis() as u64;
+        let waited_ms = poll.poll.wait.as_millis() as u64;
+        info!(event = "discovery_answered_late", took_ms, waited_ms, "an overdue poll was answered");
+        self.on_answer(poll, answer)
+    }
+
     /// Handles the answer to a poll. Polls that were started before it are given up, since their answers are older.
     fn on_answer(&mut self, poll: &PollInFlight, answer: (EndpointList, Connection)) -> Message {
         let (list, connection) = answer;
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -69,7 +69,7 @@
             self.on_client_disconnected(id);
             return self.report_end(attempt, AttemptOutcome::NOT_MADE);
         }
-        let identity = RequestIdentity::new(&open.request, open.idempotency);
+        let identity = open.identity();
         let Some((target, pooled)) = self.check_out(server, &identity, now, conditions) else {
             return self.report_end(attempt, AttemptOutcome::NOT_MADE);
         };
@@ -141,7 +141,7 @@
             target,
             pooled,
             request: open.request.clone(),
-            identity: RequestIdentity::new(&open.request, open.idempotency),
+            identity: open.identity(),
             deadline,
             connect_timeout: Duration::from_micros(self.settings.connect_timeout),
             metrics: self.metrics.clone(),
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -17,6 +17,7 @@
 use crate::metrics::OutcomeCounters;
 use crate::reply_turn::ReplyTurn;
 use crate::request::{ClientRequest, Response};
+use crate::upstream::reply_identity::RequestIdentity;
 use crate::upstream::send_permit::SendStart;
 
 /// A request that has no response yet, or has an attempt in flight.
@@ -70,6 +71,11 @@
         self.request.id_text()
     }
 
+    /// What of the request matters for the replies before and after it on a connection.
+    pub(crate) fn identity(&self) -> RequestIdentity {
+        RequestIdentity::new(&self.request, self.idempotency)
+    }
+
     /// Whether another attempt is forbidden: the request must not be repeated, and may have been executed.
     pub(crate) fn must_not_repeat(&self) -> bool {
         let may_run = |attempt: &AttemptState| attempt.running.is_some() && attempt.start.is_set();
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -69,6 +69,7 @@
     /// Ends a request whose client has disconnected.
     pub(super) fn on_client_disconnected(&mut self, id: RequestId) {
         let Some(open) = self.open_requests.get_mut(&id) else { return };
+        open.reservation.release();
         if open.response.take().is_some()
             && let Some(disconnected_at) = open.client.disconnected_at()
         {
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -28,6 +28,8 @@
 
 /// The size of a chunk that is read without a permit, in bytes. A value in transit has two chunks at most.
 pub(crate) const MIN_CHUNK_BYTES: usize = 2 << 10;
+/// The longest value that is buffered without a permit, in bytes. The memory accounted for each open request covers it.
+pub(crate) const MAX_COVERED_VALUE_BYTES: usize = MIN_CHUNK_BYTES;
 /// The largest command that counts as small, in bytes: what is needed for any value that is not relayed.
 pub(crate) const MAX_SMALL_COMMAND_BYTES: usize = 2 * MAX_BUFFERED_BYTES;
 /// The chunks of values in transit may occupy this fraction of what large buffers may.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -55,6 +55,8 @@
     pub(crate) discarded_commands: Counter,
     /// Replies that may be a second copy of the one before on their connection, and were not passed on.
     pub(crate) repeated_replies: Counter,
+    /// Values that are short enough to be buffered and were relayed for want of memory.
+    pub(crate) unbuffered_values: Counter,
     /// Connections to servers that were opened.
     pub(crate) opened_connections: Counter,
     /// Values that were held back for the replies behind them and were not complete in time. Their requests failed.
@@ -176,6 +178,7 @@
             ("svc_held_values_failed_total", "counter", self.incomplete_held_values.get()),
             ("svc_repeated_replies_total", "counter", self.repeated_replies.get()),
             ("svc_connections_opened_total", "counter", self.opened_connections.get()),
+            ("svc_values_unbuffered_total", "counter", self.unbuffered_values.get()),
             ("svc_inflight", "gauge", self.in_flight.get()),
             ("svc_hosts_listed", "gauge", self.listed_servers.get()),
             ("svc_hosts_down", "gauge", self.unavailable_servers.get()),
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -129,6 +129,7 @@
     metrics.incomplete_held_values.set(120);
     metrics.repeated_replies.set(121);
     metrics.opened_connections.set(122);
+    metrics.unbuffered_values.set(123);
     metrics.listed_servers.set(107);
     metrics.unavailable_servers.set(108);
     metrics.failed_polls.set(109);
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -118,10 +118,10 @@
                 NextStep::Read => buffer.read(&self.socket).await?,
                 NextStep::Complete(reply) => return Ok(copies.checked(reply)),
                 NextStep::Relay { length, first } => {
-                    let identity = ReplyIdentity::relayed(length);
-                    if copies.is_copy(identity) {
+                    if copies.is_relayed_copy(length) {
                         return Err(Outcome::ServerError);
                     }
+                    let identity = ReplyIdentity::relayed(length);
                     let result = self.relay_value(length, first, relay).await?;
                     return Ok(ServerReply { result, identity, reusable: true });
                 }
--- a/crates/node/src/upstream/origin_response.rs
+++ b/crates/node/src/upstream/origin_response.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::AttemptResult;
 use super::reply_identity::{CopyDetector, ReplyIdentity, ServerReply};
-use crate::memory_budget::{BufferedValue, MIN_CHUNK_BYTES, MemoryPermit};
+use crate::memory_budget::{BufferedValue, MAX_COVERED_VALUE_BYTES, MemoryPermit};
 use crate::relay::{
     Chunk, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
     value_channel,
@@ -17,8 +17,6 @@
 
 /// The response header that is `1` if the request was not executed.
 const UNPROCESSED_HEADER: &str = "X-Unprocessed";
-/// The longest value that is buffered without a permit, in bytes. The memory accounted for each open request covers it.
-const MAX_COVERED_VALUE_BYTES: usize = MIN_CHUNK_BYTES;
 
 /// Reads a response. An error is the outcome of the attempt; the connection cannot be used after it.
 pub(crate) async fn read_response(
@@ -135,10 +133,10 @@
     copies: &CopyDetector<'_>,
     relay: RelayContext,
 ) -> Result<ServerReply, Outcome> {
-    let identity = ReplyIdentity::relayed(length);
-    if copies.is_copy(identity) {
+    if copies.is_relayed_copy(length) {
         return Err(Outcome::ServerError);
     }
+    let identity = ReplyIdentity::relayed(length);
     let RelayContext { budget, on_start, .. } = relay;
     let (sink, stream) = value_channel(length);
     let mut start = Some((on_start, stream));
--- a/crates/node/src/upstream/reply_buffer.rs
+++ b/crates/node/src/upstream/reply_buffer.rs
@@ -8,13 +8,11 @@
 
 use super::cache_protocol::{ValueHeader, parse_reply};
 use super::reply_identity::{ReplyIdentity, ServerReply};
-use crate::memory_budget::{MAX_ENVELOPE_BYTES, MAX_REPLY_BYTES, MIN_CHUNK_BYTES, MemoryPermit};
+use crate::memory_budget::{MAX_COVERED_VALUE_BYTES, MAX_ENVELOPE_BYTES, MAX_REPLY_BYTES, MemoryPermit};
 use crate::relay::{MAX_BUFFERED_BYTES, RelayContext};
 
 /// The first capacity of the buffer, in bytes. It holds a reply with a short value.
 const INITIAL_CAPACITY: usize = 512;
-/// The longest value that is buffered without a permit, in bytes. The memory accounted for each open request covers it.
-const MAX_COVERED_VALUE_BYTES: usize = MIN_CHUNK_BYTES;
 /// The longest reply that is buffered without a permit, in bytes.
 const MAX_COVERED_REPLY_BYTES: usize = MAX_COVERED_VALUE_BYTES + MAX_ENVELOPE_BYTES;
 
--- a/crates/node/src/upstream/reply_identity.rs
+++ b/crates/node/src/upstream/reply_identity.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::AttemptResult;
 use crate::metrics::Metrics;
+use crate::relay::MAX_BUFFERED_BYTES;
 use crate::request::ClientRequest;
 
 /// What of a request matters for the replies before and after it on its connection.
@@ -118,6 +119,15 @@
         is_copy
     }
 
+    /// Whether a reply whose value of `length` bytes is about to be relayed may be a second copy of the last one. Counts
+    /// the values that are relayed for want of memory.
+    pub(crate) fn is_relayed_copy(&self, length: usize) -> bool {
+        if length <= MAX_BUFFERED_BYTES {
+            self.metrics.unbuffered_values.increment();
+        }
+        self.is_copy(ReplyIdentity::relayed(length))
+    }
+
     /// Passes a reply on. If it may be a copy, the request may have been executed, whatever the reply states, and the
     /// connection cannot be used any more. A miss stays one, since it has no effect.
     pub(crate) fn checked(&self, reply: ServerReply) -> ServerReply {
--- a/crates/node/src/upstream/reply_identity/tests.rs
+++ b/crates/node/src/upstream/reply_identity/tests.rs
@@ -19,6 +19,8 @@
     let miss = ReplyIdentity::Miss;
     assert!(is_copy(miss, miss) && !is_copy(miss, value) && !is_copy(value, miss));
     assert!(!is_copy(miss, ReplyIdentity::relayed(5)));
+    assert!(copies(value, &metrics).is_relayed_copy(5) && !copies(miss, &metrics).is_relayed_copy(5));
+    assert_eq!(metrics.unbuffered_values.get(), 2);
     assert!(!is_copy(ReplyIdentity::error(b"BUSY"), ReplyIdentity::error(b"BUSY 5")));
 }
 
