Tests: one way to start caches that reply late, and the model of fleets in three files

Change: start_node takes what a cache does with a long value; the overdue polls and the results of simulated fleets are modules of their own.

--- a/crates/cli/tests/waiting_replies.rs
+++ b/crates/cli/tests/waiting_replies.rs
@@ -16,6 +16,8 @@
 const MAX_VALUE: usize = 4 << 20;
 /// The longest value that is not relayed, in bytes.
 const MAX_BUFFERED_VALUE: usize = 64 << 10;
+/// The length of other values, in bytes.
+const SHORT_VALUE: usize = 5;
 /// Clients that read a long value and others behind it.
 const CLIENTS: usize = 16;
 /// The reads of each client behind the long value. Together the values are twice as long as the memory limit.
@@ -25,30 +27,31 @@
 /// How long the memory of the node is observed.
 const OBSERVATION: Duration = Duration::from_millis(2_000);
 
-fn start_node(caches: &[FakeServer], origin: &FakeServer) -> Node {
-    let caches: Vec<_> = CACHES.into_iter().zip(caches.iter().map(|cache| cache.addr)).collect();
-    let known = server_list(41, &caches, origin.addr);
+/// Starts a node whose caches reply to reads of long values with `reply_long`, and to all others at once with a value of
+/// this length. Returns it with its origin.
+fn start_node(short_value: usize, reply_long: impl Fn(Call) + Clone + Send + 'static) -> (Node, FakeServer) {
+    let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
+    let listed: Vec<_> = CACHES.into_iter().zip(caches.iter().map(|cache| cache.addr)).collect();
+    let known = server_list(41, &listed, origin.addr);
     let options = NodeOptions::new(&known, FakeServer::http().addr);
-    NodeOptions { memory_mb: MEMORY_MB, operator: true, ..options }.start()
+    let node = NodeOptions { memory_mb: MEMORY_MB, operator: true, ..options }.start();
+    for cache in caches {
+        let value = "v".repeat(short_value);
+        let (short, reply_long) =
+            (format!("*3\r\n${short_value}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n"), reply_long.clone());
+        thread::spawn(move || {
+            loop {
+                let mut call = cache.next_call();
+                if call.words[1].starts_with("long") { reply_long(call) } else { call.try_reply(&short) }
+            }
+        });
+    }
+    (node, origin)
 }
 
-/// The calls to which a long reply has begun.
-type BegunReplies = Arc<Mutex<Vec<Call>>>;
-
-/// Sends a part of each value whose key starts with `long`, and all other values whole.
-fn begin_long_values(cache: FakeServer, begun: BegunReplies) {
-    thread::spawn(move || {
-        let value = "v".repeat(MAX_BUFFERED_VALUE);
-        loop {
-            let mut call = cache.next_call();
-            if call.words[1].starts_with("long") {
-                call.reply(format!("*3\r\n${MAX_VALUE}\r\nv"));
-                begun.lock().unwrap().push(call);
-            } else {
-                call.try_reply(&format!("*3\r\n${MAX_BUFFERED_VALUE}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n"));
-            }
-        }
-    });
+/// Sends the header of a long value and its first bytes.
+fn begin_long_value(call: &mut Call, first_bytes: usize) {
+    call.reply(format!("*3\r\n${MAX_VALUE}\r\n{}", "v".repeat(first_bytes)));
 }
 
 fn read_command(key: &str, id: &str) -> String {
@@ -65,12 +68,12 @@
 /// Guards against replies that wait for one before them in no memory budget: together they took a node over its limit.
 #[test]
 fn replies_that_wait_behind_long_values_stay_within_the_memory_limit() {
-    let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
-    let node = start_node(&caches, &origin);
-    let long_calls = BegunReplies::default();
-    for cache in caches {
-        begin_long_values(cache, long_calls.clone());
-    }
+    let long_calls: Arc<Mutex<Vec<Call>>> = Arc::default();
+    let begun = long_calls.clone();
+    let (node, _origin) = start_node(MAX_BUFFERED_VALUE, move |mut call| {
+        begin_long_value(&mut call, 1);
+        begun.lock().unwrap().push(call);
+    });
     let start = Instant::now();
     let mut clients: Vec<Client> = Vec::new();
     while start.elapsed() < OBSERVATION {
@@ -96,34 +99,18 @@
     }
 }
 
-/// A cache that replies to `long` with a part of a long value and then closes the connection, and at once to all else.
-fn break_off_long_values(cache: FakeServer, pause: Duration) {
-    thread::spawn(move || {
-        loop {
-            let mut call = cache.next_call();
-            if call.words[1] == "long" {
-                thread::spawn(move || {
-                    call.reply(format!("*3\r\n${MAX_VALUE}\r\n{}", "v".repeat(MAX_VALUE / 2)));
-                    thread::sleep(pause);
-                    call.close();
-                });
-            } else {
-                call.reply_value("value");
-            }
-        }
-    });
-}
-
 /// Guards against requests that were executed and get no reply, because a value before them on their connection broke
 /// off after its first bytes had been passed on.
 #[test]
 fn requests_behind_a_value_that_breaks_off_get_their_replies() {
     for pause in [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1_800)] {
-        let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
-        let node = start_node(&caches, &origin);
-        for cache in caches {
-            break_off_long_values(cache, pause);
-        }
+        let (node, origin) = start_node(SHORT_VALUE, move |mut call| {
+            thread::spawn(move || {
+                begin_long_value(&mut call, MAX_VALUE / 2);
+                thread::sleep(pause);
+                call.close();
+            });
+        });
         let mut client = node.client();
         let commands = [
             read_command("short", "0"),
@@ -134,7 +121,8 @@
         client.write(commands.concat());
         origin.next_call().reply_http("200 OK", "stored");
         let replies: Vec<Outcome> = commands.iter().map(|_| client.read_outcome()).collect();
-        let expected = ["value", "-ERR failed", "value", "stored"].map(|text| Outcome::Reply(text.into()));
+        let short = "v".repeat(SHORT_VALUE);
+        let expected = [&short, "-ERR failed", &short, "stored"].map(|text| Outcome::Reply(text.into()));
         assert_eq!(replies, expected, "a value that breaks off after {pause:?}");
         client.ping();
         assert!(node.metric("svc_held_values_failed_total") >= 1.0);
@@ -144,12 +132,11 @@
 /// Guards against a value that is held back though no other reply is due: a client is owed what its server sends.
 #[test]
 fn value_without_a_request_behind_it_is_passed_on_as_it_arrives() {
-    let (caches, origin) = (CACHES.map(|_| FakeServer::cache()), FakeServer::http());
-    let node = start_node(&caches, &origin);
-    let begun = BegunReplies::default();
-    for cache in caches {
-        begin_long_values(cache, begun.clone());
-    }
+    let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
+    let (node, _origin) = start_node(SHORT_VALUE, move |mut call| {
+        begin_long_value(&mut call, 1);
+        calls.lock().unwrap().push(call); // the rest never comes
+    });
     let mut client = node.client();
     client.write(read_command("long", "1"));
     assert_eq!(client.read_line(), format!("${MAX_VALUE}"));
--- a/crates/node/src/discovery/tests/fleet.rs
+++ b/crates/node/src/discovery/tests/fleet.rs
@@ -8,13 +8,16 @@
 use stonefold_model::site::DiscoveryKind;
 use stonefold_model::{Discovery, Listed, State};
 
-use crate::discovery::late_polls::MAX_LATE_POLLS;
-use crate::discovery::poll_schedule::{CONNECT_TIMEOUT, LATE_ANSWER_LIMIT, Poll, PollOutcome, PollSchedule};
+use crate::discovery::poll_schedule::{CONNECT_TIMEOUT, Poll, PollOutcome, PollSchedule};
 use crate::message::DiscoverySettings;
 
+mod late_polls;
 mod scenario;
+mod stats;
 
+use late_polls::LatePoll;
 use scenario::{DEADLINE, END, FAULT_DURATION, Micros, SCENARIOS, SECOND, START, Scenario};
+use stats::FleetStats;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -55,29 +58,6 @@
     missed_changes_due: Micros,
 }
 
-/// An overdue poll that may still be answered.
-struct LatePoll {
-    number: u64,
-    poll: Poll,
-    started: Micros,
-    state: PollState,
-}
-
-/// The results of one fleet in one scenario.
-#[derive(Default)]
-struct FleetStats {
-    polls: u64,
-    rejected: u64,
-    /// The most polls in one second.
-    peak_per_s: u64,
-    /// The current second, and the polls in it so far.
-    current_second: (Micros, u64),
-    /// How long after it was available each change reached each node.
-    ages: Vec<Micros>,
-    /// Changes that reached a node after the notification deadline.
-    late: u64,
-}
-
 struct Fleet {
     settings: DiscoverySettings,
     discovery: Discovery,
@@ -209,13 +189,7 @@
     fn begin(&mut self, index: usize) {
         let now = self.now;
         if now >= START {
-            let stats = &mut self.stats;
-            stats.polls += 1;
-            stats.current_second = match stats.current_second {
-                (second, polls) if second == now / SECOND => (second, polls + 1),
-                _ => (now / SECOND, 1),
-            };
-            stats.peak_per_s = stats.peak_per_s.max(stats.current_second.1);
+            self.stats.count_poll(now);
         }
         let node = &mut self.nodes[index];
         (node.poll_number, node.poll_started, node.state) = (node.poll_number + 1, now, PollState::Queued);
@@ -252,55 +226,6 @@
         self.schedule(wait_end, Event::WaitOver(index, poll_number));
     }
 
-    /// Keeps the overdue poll of a node, and begins the next one.
-    fn time_out(&mut self, index: usize) {
-        let node = &mut self.nodes[index];
-        let late = LatePoll {
-            number: node.poll_number,
-            poll: node.poll,
-            started: node.poll_started,
-            state: node.state,
-        };
-        if node.late_polls.len() == MAX_LATE_POLLS {
-            node.late_polls.remove(0);
-        }
-        node.late_polls.push(late);
-        self.end(index, PollOutcome::TimedOut);
-    }
-
-    fn dequeue_late(&mut self, index: usize, number: u64) {
-        let version = self.discovery.version();
-        let node = &mut self.nodes[index];
-        let Some(late) = node.late_polls.iter_mut().find(|late| late.number == number) else { return };
-        if late.state != PollState::Queued {
-            return;
-        }
-        late.state = PollState::Open;
-        if !late.poll.wait.is_zero() && node.version == version {
-            let wait_end = self.now + late.poll.wait.as_micros() as Micros;
-            return self.schedule(wait_end, Event::WaitOver(index, number));
-        }
-        self.answer_late(index, number, |state| state == PollState::Open);
-    }
-
-    /// Answers an overdue poll in one of these states, unless the node has given it up.
-    fn answer_late(&mut self, index: usize, number: u64, which: impl Fn(PollState) -> bool) {
-        let node = &mut self.nodes[index];
-        let Some(late) = node.late_polls.iter().find(|late| late.number == number && which(late.state))
-        else {
-            return;
-        };
-        let overdue_at = late.started + late.poll.overdue_after.as_micros() as Micros;
-        if self.now > overdue_at + LATE_ANSWER_LIMIT.as_micros() as Micros {
-            return;
-        }
-        let took = Duration::from_micros(self.now - late.started);
-        let poll = late.poll;
-        node.late_polls.retain(|late| late.number > number);
-        node.schedule.on_end(poll, PollOutcome::Answered, took);
-        self.receive_list(index, self.discovery.version());
-    }
-
     fn answer(&mut self, index: usize) {
         self.nodes[index].late_polls.clear();
         self.receive_list(index, self.discovery.version());
@@ -341,15 +266,6 @@
         }
     }
 
-    fn answer_open_late_polls(&mut self) {
-        for index in 0..self.nodes.len() {
-            let mut open = self.nodes[index].late_polls.iter().filter(|late| late.state == PollState::Open);
-            if let Some(number) = open.next().map(|late| late.number) {
-                self.answer_late(index, number, |state| state == PollState::Open);
-            }
-        }
-    }
-
     fn take_discovery_down(&mut self) {
         self.down_until = self.now + FAULT_DURATION;
         self.discovery.set_unavailable_until(self.down_until);
@@ -450,25 +366,10 @@
                     println!(
                         "| {} | {capacity_per_node} | {scenario:?} | {nodes} {}",
                         if watch_required { "watched" } else { "pushed" },
-                        row(stats)
+                        stats.row()
                     );
                 }
             }
         }
     }
 }
-
-fn row(stats: FleetStats) -> String {
-    let FleetStats { polls, rejected, peak_per_s, mut ages, late, .. } = stats;
-    ages.sort();
-    let age = |part: f64| ages[((ages.len() - 1) as f64 * part) as usize] as f64 / 1e6;
-    format!(
-        "| {:.1} | {peak_per_s} | {:.0}% | {:.1} s | {:.1} s | {:.1} s | {late} of {} |",
-        polls as f64 * 1e6 / (END - START) as f64,
-        100.0 * rejected as f64 / polls as f64,
-        age(0.5),
-        age(0.99),
-        age(1.0),
-        ages.len()
-    )
-}
