Count what a client acknowledges as progress, and let slow readers finish

A value that was being read at SIGTERM was cut off when the process exited 0.1 s before the kill.

Cause: each write of 16 KiB had 5 s as a whole, but the kernel reports a socket as writable only once a third of its send buffer is free, which is more than a megabyte by then. Full buffers were taken for a client that takes nothing. The shutdown ended at a fixed time.

After 5 s with none its connection gives way if another client needs it. Near the end of a shutdown only connections with replies to be taken stay open. Operators' answers have no fixed time either.

--- a/crates/cli/tests/common/fakes.rs
+++ b/crates/cli/tests/common/fakes.rs
@@ -435,9 +435,7 @@
 
 impl Node {
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        Client { reader: BufReader::new(stream) }
+        Client::new(TcpStream::connect(self.addr).unwrap())
     }
 
     /// A client with a small receive buffer: its kernel takes little of a reply before the client reads it.
@@ -445,9 +443,7 @@
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES).unwrap();
         socket.connect(&self.addr.into()).unwrap();
-        let stream = TcpStream::from(socket);
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        Client { reader: BufReader::new(stream) }
+        Client::new(TcpStream::from(socket))
     }
 
     /// Sends these bytes on an operator's connection, and returns the node's reply.
@@ -589,6 +585,16 @@
 }
 
 impl Client {
+    pub fn new(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+    /// Drops the bytes that were read ahead, and returns their number.
+    pub fn take_buffered(&mut self) -> usize {
+        let bytes = self.reader.buffer().len();
+        self.reader.consume(bytes);
+        bytes
+    }
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.reader.get_mut().write_all(bytes.as_ref()).unwrap();
     }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -3,6 +3,7 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -154,6 +155,23 @@
         if would_block(&peeked) { Ok(0) } else { peeked }
     }
 
+    /// The number of bytes written that the peer's machine has not acknowledged. It falls while a write has to wait if the
+    /// peer takes what was sent before, long before the kernel reports the socket as writable again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell, or if the connection is broken.
+    #[allow(unsafe_code)]
+    pub fn unacknowledged_bytes(&self) -> io::Result<usize> {
+        let mut bytes: libc::c_int = 0;
+        // SAFETY: the descriptor is open while `self` exists, and the call writes one `c_int`, which `bytes` is.
+        let result = unsafe { libc::ioctl(self.0.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+        if result < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        usize::try_from(bytes).map_err(io::Error::other)
+    }
+
     fn peek(&self) -> io::Result<usize> {
         SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()])
     }
--- a/crates/node/src/clients/idle.rs
+++ b/crates/node/src/clients/idle.rs
@@ -1,4 +1,5 @@
-//! The client connections without a pending reply, and the order in which they are evicted.
+//! The client connections without a pending reply or with a client that takes nothing of its reply, and the order in
+//! which they are evicted.
 
 use std::collections::BTreeMap;
 use std::future::pending;
@@ -6,15 +7,21 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::write_progress::LastProgress;
 
 /// The age before which a new connection is not evicted if there is another choice, since its first request may be on
 /// its way.
 const NEW_CONNECTION_PERIOD: Duration = Duration::from_millis(300);
 /// A connection is not evicted for a new one this soon after its last reply, since its next request may be on its way.
 const RECENT_USE_PERIOD: Duration = Duration::from_secs(2);
+/// A connection may be evicted for a new one once its client has taken nothing of its reply for this long.
+const STALL_EVICTION_AGE: Duration = Duration::from_secs(5);
+/// How often a stalled connection checks whether its client takes something again.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The state of a connection without a pending reply, in the order of preference for eviction.
+/// The state of a connection that may be evicted.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum IdleState {
     /// The client has not sent a request yet.
@@ -23,6 +30,8 @@
     BetweenRequests,
     /// The client has sent a part of a command.
     Sending,
+    /// The client has taken nothing of its reply for [`STALL_EVICTION_AGE`].
+    Stalled,
 }
 
 /// The position of a connection in the ranking: by state, then by how long it has been in that state. The number makes
@@ -53,7 +62,7 @@
     }
 }
 
-/// All client connections without a pending reply.
+/// All client connections that may be evicted.
 pub(crate) struct IdleConnections {
     ranking: Mutex<Ranking>,
     max_between_requests: usize,
@@ -89,17 +98,20 @@
     }
 
     /// Evicts one connection, by the first of these rules that finds one: an unused connection that is not new; one
-    /// between requests that was not used recently; any unused one; one that is sending a command. A connection between
-    /// requests that was used recently is never evicted here, since its next request may be on its way.
+    /// between requests that was not used recently; any unused one; one whose client takes nothing of its reply; one that
+    /// is sending a command. A connection between requests that was used recently is never evicted here, since its next
+    /// request may be on its way.
     pub(crate) fn evict_one(&self, now: Instant) {
         let mut ranking = self.ranking();
         let unused = ranking.first(IdleState::Unused);
         let between_requests = ranking.first(IdleState::BetweenRequests);
+        let stalled = ranking.first(IdleState::Stalled);
         let sending = ranking.first(IdleState::Sending);
         let chosen = unused
             .filter(|rank| now >= rank.since + NEW_CONNECTION_PERIOD)
             .or(between_requests.filter(|rank| now >= rank.since + RECENT_USE_PERIOD))
             .or(unused)
+            .or(stalled)
             .or(sending);
         if let Some(rank) = chosen {
             ranking.entries.remove(&rank);
@@ -129,6 +141,24 @@
     }
 }
 
+/// Waits until a connection is evicted because its client takes nothing of the reply that is being written.
+pub(crate) async fn evicted_while_stalled(all: &Arc<IdleConnections>, progress: LastProgress) {
+    loop {
+        let last_progress = progress.at();
+        sleep_until(last_progress + STALL_EVICTION_AGE).await;
+        if progress.at() != last_progress {
+            continue;
+        }
+        let mut slot = Some(all.register(IdleState::Stalled, last_progress));
+        while progress.at() == last_progress {
+            tokio::select! {
+                () = IdleSlot::evicted(&mut slot) => return,
+                () = sleep(STALL_CHECK_INTERVAL) => {}
+            }
+        }
+    }
+}
+
 impl Drop for IdleSlot {
     fn drop(&mut self) {
         self.all.ranking().entries.remove(&self.rank);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -69,8 +69,9 @@
         ClientServer { accepting: tokio::spawn(acceptor.run(listener)), sessions, closing }
     }
 
-    /// Shuts down on a schedule that counts from `stopped_at`. Returns when all connections have ended, and at the
-    /// schedule's `exit_at` at the latest.
+    /// Shuts down on a schedule that counts from `stopped_at`. Returns when all connections have ended. From the
+    /// schedule's `close_all_at` on only those stay open whose clients are still taking replies: the kill at the end of
+    /// the shutdown loses none of these, but an exit before it would.
     pub(crate) async fn stop(self, stopped_at: Instant, schedule: ShutdownSchedule) {
         let ClientServer { accepting, sessions, closing } = self;
         sleep_until(stopped_at + schedule.accept_until).await;
@@ -83,9 +84,10 @@
             () = sleep_until(stopped_at + schedule.close_unused_at) => closing.unused.cancel(),
         }
         tokio::select! {
-            () = sessions.wait() => {}
-            () = sleep_until(stopped_at + schedule.exit_at) => {}
+            () = sessions.wait() => return,
+            () = sleep_until(stopped_at + schedule.close_all_at) => closing.all.cancel(),
         }
+        sessions.wait().await;
     }
 }
 
@@ -96,6 +98,8 @@
     used: CancellationToken,
     /// Closes connections that have had no request.
     unused: CancellationToken,
+    /// Closes every connection that has no pending reply, even in the middle of a command.
+    all: CancellationToken,
 }
 
 /// What all sessions share.
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -214,6 +214,7 @@
                 () = yield_now(), if self.may_have_more => {}
                 () = closing.used.cancelled(), if !guards.shutting_down => {}
                 () = closing.unused.cancelled(), if !closing.unused.is_cancelled() => {}
+                () = closing.all.cancelled(), if !closing.all.is_cancelled() => {}
                 () = sleep_until(guards.times_out_at), if guards.may_time_out => {
                     return replies::time_out(socket).await;
                 }
@@ -254,8 +255,10 @@
         if self.malformed_at.is_some() {
             return Some(CloseReason::Malformed);
         }
-        let closes = shutting_down && self.has_sent_request || self.context.closing.unused.is_cancelled();
-        (closes && !self.has_partial_command()).then_some(CloseReason::ShuttingDown)
+        let closing = &self.context.closing;
+        let closes = shutting_down && self.has_sent_request || closing.unused.is_cancelled();
+        let closes_now = closes && !self.has_partial_command() || closing.all.is_cancelled();
+        closes_now.then_some(CloseReason::ShuttingDown)
     }
 
     /// Registers the connection for eviction with its current state, or removes the registration if a reply is pending.
--- a/crates/node/src/clients/session/held_value/tests.rs
+++ b/crates/node/src/clients/session/held_value/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::relay::{ValueSink, value_channel};
+use crate::write_progress::ProgressWriter;
 
 const LENGTH: usize = 100_000;
 const CHUNK: usize = 10_000;
@@ -34,7 +35,7 @@
     sending.await.unwrap();
     let Some(value) = complete else { return (false, held) };
     let mut text = Vec::new();
-    value.write_to(&mut text).await.unwrap();
+    value.write_to(&mut ProgressWriter::new(&mut text)).await.unwrap();
     (text.len() > LENGTH, held)
 }
 
--- a/crates/node/src/clients/session/replies.rs
+++ b/crates/node/src/clients/session/replies.rs
@@ -7,16 +7,18 @@
 use redis_protocol::resp2::types::BytesFrame;
 use stonefold_net::Socket;
 use stonefold_proto::resp::has_complete_frame;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use tracing::debug;
 
 use super::held_value::HeldValue;
 use super::{CloseReason, Session};
 use crate::clients::disconnect::while_connected;
+use crate::clients::idle::evicted_while_stalled;
 use crate::clients::pending_replies::{
     FAILED_TEXT, FrameReply, ReplyDeadline, ReplyMemory, UnansweredRequest, WritableReply,
 };
-use crate::relay::{MAX_FRAME_BYTES, PROGRESS_TIMEOUT, ValueStream};
+use crate::relay::{MAX_FRAME_BYTES, ValueStream};
+use crate::write_progress::{LastProgress, ProgressWriter};
 
 /// The number of bytes after which no more replies are added to a batch, so that other tasks can run.
 const MAX_BATCH_BYTES: usize = 16 << 10;
@@ -44,8 +46,9 @@
         match reply {
             WritableReply::Frame(first) => {
                 let batch = self.collect_batch(first);
-                let write = async { timeout(PROGRESS_TIMEOUT, socket.write_all(&batch.text)).await? };
-                while_connected(socket, &mut self.unread, write).await?;
+                let mut writer = ProgressWriter::new(socket);
+                self.while_client_takes(socket, writer.last_progress(), writer.write_all(&batch.text))
+                    .await?;
                 for deadline in &batch.deadlines {
                     deadline.check(&self.context.metrics.violations);
                 }
@@ -65,25 +68,46 @@
         stream: ValueStream,
         request: UnansweredRequest,
     ) -> io::Result<()> {
+        let mut writer = ProgressWriter::new(socket);
+        let progress = writer.last_progress();
         if !self.owes_other_replies() {
-            return while_connected(socket, &mut self.unread, stream.write_to(&mut { socket })).await;
+            return self.while_client_takes(socket, progress, stream.write_to(&mut writer)).await;
         }
         let length = stream.length;
         let budget = self.context.budget.clone();
         let held = HeldValue::new(stream, Instant::now(), request.deadline.at);
-        let write = async {
-            match held.complete(&budget).await {
-                Some(complete) => complete.write_to(&mut { socket }).await.map(|()| true),
-                None => write_failure(socket).await.map(|()| false),
+        let hold = async { Ok(held.complete(&budget).await) };
+        match while_connected(socket, &mut self.unread, hold).await? {
+            Some(complete) => self.while_client_takes(socket, progress, complete.write_to(&mut writer)).await,
+            None => {
+                self.while_client_takes(socket, progress, write_error(&mut writer, FAILED_TEXT)).await?;
+                self.record_failed_hold(&request, length);
+                Ok(())
             }
-        };
-        if !while_connected(socket, &mut self.unread, write).await? {
-            self.context.metrics.incomplete_held_values.increment();
-            debug!(event = "held_value_failed", request = %String::from_utf8_lossy(&request.deadline.request), length,
-                pending_replies = self.pending.len(),
-                "a value was not complete in time for the replies behind it");
         }
-        Ok(())
+    }
+
+    /// Counts and logs a value that was not complete in time.
+    fn record_failed_hold(&self, request: &UnansweredRequest, length: usize) {
+        self.context.metrics.incomplete_held_values.increment();
+        debug!(event = "held_value_failed", request = %String::from_utf8_lossy(&request.deadline.request), length,
+            pending_replies = self.pending.len(),
+            "a value was not complete in time for the replies behind it");
+    }
+
+    /// Runs a write until it completes, the client disconnects, or the connection is evicted because the client takes
+    /// nothing and others need the room.
+    async fn while_client_takes(
+        &mut self,
+        socket: &Socket,
+        progress: LastProgress,
+        write: impl Future<Output = io::Result<()>>,
+    ) -> io::Result<()> {
+        tokio::select! {
+            biased;
+            written = while_connected(socket, &mut self.unread, write) => written,
+            () = evicted_while_stalled(&self.context.idle, progress) => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 
     /// Whether replies to other requests are due that have been read, besides the one that is being written.
@@ -106,18 +130,16 @@
 
 /// Sends an error to a client that has sent no valid command for too long, and closes the sending direction.
 pub(super) async fn time_out(socket: &Socket) -> io::Result<CloseReason> {
-    let mut text = BytesMut::new();
-    encode(&mut text, &BytesFrame::Error("ERR no whole command".into()));
-    timeout(PROGRESS_TIMEOUT, socket.write_all(&text)).await??;
+    write_error(&mut ProgressWriter::new(socket), "ERR no whole command").await?;
     socket.shutdown_write()?;
     Ok(CloseReason::TimedOut)
 }
 
-/// Tells a client that its request has failed.
-async fn write_failure(socket: &Socket) -> io::Result<()> {
+/// Writes an error.
+async fn write_error(to: &mut ProgressWriter<&Socket>, error: &str) -> io::Result<()> {
     let mut text = BytesMut::new();
-    encode(&mut text, &BytesFrame::Error(FAILED_TEXT.into()));
-    timeout(PROGRESS_TIMEOUT, socket.write_all(&text)).await?
+    encode(&mut text, &BytesFrame::Error(error.into()));
+    to.write_all(&text).await
 }
 
 fn encode(text: &mut BytesMut, frame: &BytesFrame) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,5 +33,6 @@
 mod stall;
 mod transient;
 mod upstream;
+mod write_progress;
 
 pub use run::run;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,13 +14,14 @@
 use std::{io, thread};
 
 use stonefold_net::{Listener, Socket};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 use tracing::{Instrument, info, info_span, warn};
 
 use crate::bind::bind_with_retry;
+use crate::write_progress::ProgressWriter;
 pub(crate) use command::OperatorCommand;
 pub(crate) use handler::NodeHandler;
 
@@ -30,8 +31,10 @@
 const MAX_COMMAND_LEN: u64 = 256;
 /// The maximum number of bytes that are read and discarded after the answer.
 const MAX_DISCARDED_LEN: u64 = 64 << 10;
-/// The time after which a connection is closed, even if its command is incomplete or its answer was not read.
-const CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time after which a connection is closed if its command is incomplete.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection stays open after its answer was written, for an operator who does not close it.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The pause after a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The stack size of the operators' thread, in bytes.
@@ -83,16 +86,16 @@
         }
         let handler = handler.clone();
         // An error on a connection concerns only its own operator.
-        let task = async move { timeout(CONNECTION_TIMEOUT, handle(stream, &*handler)).await };
+        let task = async move { handle(&stream, &*handler).await };
         connections.push_back(tokio::spawn(task).abort_handle());
     }
 }
 
-/// Reads one command and writes its answer.
-async fn handle(stream: Socket, handler: &impl CommandHandler) -> io::Result<()> {
-    let mut stream = BufReader::with_capacity(MAX_COMMAND_LEN as usize, stream);
+/// Reads one command and writes its answer, as slowly as the operator takes it.
+async fn handle(socket: &Socket, handler: &impl CommandHandler) -> io::Result<()> {
+    let mut reader = BufReader::with_capacity(MAX_COMMAND_LEN as usize, socket);
     let mut line = Vec::new();
-    (&mut stream).take(MAX_COMMAND_LEN).read_until(b'\n', &mut line).await?;
+    timeout(COMMAND_TIMEOUT, (&mut reader).take(MAX_COMMAND_LEN).read_until(b'\n', &mut line)).await??;
     let mut answer = match OperatorCommand::parse(&line) {
         Ok(command) => {
             let span = info_span!("operator_command", ?command);
@@ -101,8 +104,10 @@
         Err(error) => format!("fail {error}"),
     };
     answer.push('\n');
-    stream.get_mut().write_all(answer.as_bytes()).await?;
-    stream.get_mut().shutdown().await?;
+    ProgressWriter::new(socket).write_all(answer.as_bytes()).await?;
+    socket.shutdown_write()?;
     // Closing with unread bytes would reset the connection, and the answer could be lost.
-    tokio::io::copy(&mut stream.take(MAX_DISCARDED_LEN), &mut tokio::io::sink()).await.map(drop)
+    timeout(CLOSE_TIMEOUT, tokio::io::copy(&mut reader.take(MAX_DISCARDED_LEN), &mut tokio::io::sink()))
+        .await?
+        .map(drop)
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::memory_budget::{MIN_CHUNK_BYTES, MemoryBudget, MemoryPermit, ReplyReservation};
 use crate::reply_turn::ReplyTurn;
+use crate::write_progress::{ProgressWriter, SendingSide};
 
 /// The largest value that is accepted, in bytes.
 pub(crate) const MAX_VALUE_BYTES: usize = 4 << 20;
@@ -17,8 +18,8 @@
 pub(crate) const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// The largest chunk in which longer values are relayed, in bytes.
 pub(crate) const CHUNK_BYTES: usize = 16 << 10;
-/// A transfer is abandoned if no byte is read or written for this long.
-pub(crate) const PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
+/// A value is abandoned if its server sends no byte of it for this long.
+pub(crate) const SERVER_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The largest command or reply, in bytes: a value and up to 4 KiB around it.
 pub(crate) const MAX_FRAME_BYTES: usize = MAX_VALUE_BYTES + (4 << 10);
 
@@ -35,7 +36,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream breaks or stays silent for [`PROGRESS_TIMEOUT`].
+    /// Fails if the stream breaks or stays silent for [`SERVER_SILENCE_TIMEOUT`].
     pub(crate) async fn read_chunk(
         &self,
         from: &mut (impl AsyncRead + Unpin),
@@ -43,7 +44,7 @@
     ) -> io::Result<Option<Chunk>> {
         let (size, permit) = self.chunk_size(remaining);
         let mut buffer = BytesMut::with_capacity(size);
-        let read = timeout(PROGRESS_TIMEOUT, from.read_buf(&mut (&mut buffer).limit(size))).await??;
+        let read = timeout(SERVER_SILENCE_TIMEOUT, from.read_buf(&mut (&mut buffer).limit(size))).await??;
         Ok((read > 0).then(|| Chunk { bytes: buffer.freeze(), _permit: permit }))
     }
 
@@ -139,20 +140,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if the value is incomplete or the client reads nothing for [`PROGRESS_TIMEOUT`]. The connection has to be
-    /// closed then, so that the client notices that the value is incomplete.
-    pub(crate) async fn write_to(mut self, to: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+    /// Fails if the value is incomplete or the client takes nothing for too long, see [`ProgressWriter`]. The connection
+    /// has to be closed then, so that the client notices that the value is incomplete.
+    pub(crate) async fn write_to(mut self, to: &mut ProgressWriter<impl SendingSide>) -> io::Result<()> {
         let header = format!("${}\r\n", self.length);
-        timeout(PROGRESS_TIMEOUT, to.write_all(header.as_bytes())).await??;
+        to.write_all(header.as_bytes()).await?;
         let mut remaining = self.length;
         while remaining > 0 {
             let chunk = self.next_chunk().await.ok_or(io::ErrorKind::UnexpectedEof)?;
             remaining = remaining.checked_sub(chunk.bytes.len()).ok_or(io::ErrorKind::InvalidData)?;
-            for part in chunk.bytes.chunks(CHUNK_BYTES) {
-                timeout(PROGRESS_TIMEOUT, to.write_all(part)).await??;
-            }
+            to.write_all(&chunk.bytes).await?;
         }
-        timeout(PROGRESS_TIMEOUT, to.write_all(b"\r\n")).await?
+        to.write_all(b"\r\n").await
     }
 }
 
--- a/crates/node/src/relay/tests.rs
+++ b/crates/node/src/relay/tests.rs
@@ -1,7 +1,8 @@
 //! Relays of values between pipes in memory.
 
 use super::*;
-use tokio::io::duplex;
+use crate::write_progress::STALL_TIMEOUT;
+use tokio::io::{AsyncWriteExt, DuplexStream, duplex};
 
 /// A budget for this number of full chunks.
 fn budget_of(chunks: usize) -> MemoryBudget {
@@ -20,7 +21,7 @@
     budget: MemoryBudget,
     length: usize,
     mut from: impl AsyncRead + Unpin,
-    mut to: impl AsyncWrite + Unpin,
+    to: DuplexStream,
 ) -> bool {
     let (sink, stream) = value_channel(length);
     let pump = async move {
@@ -32,7 +33,7 @@
             slot.send(chunk);
         }
     };
-    let write = async move { stream.write_to(&mut to).await };
+    let write = async move { stream.write_to(&mut ProgressWriter::new(to)).await };
     tokio::join!(pump, write).1.is_ok()
 }
 
@@ -72,7 +73,7 @@
     let ((mut server, from), (to, client)) = (duplex(CHUNK_BYTES), duplex(100));
     tokio::spawn(async move { server.write_all(&vec![7; MAX_VALUE_BYTES]).await });
     let pending = tokio::spawn(relay(budget.clone(), MAX_VALUE_BYTES, from, to));
-    tokio::time::sleep(PROGRESS_TIMEOUT / 2).await;
+    tokio::time::sleep(STALL_TIMEOUT / 2).await;
     assert!(free_chunks(&budget) >= 62, "{} left", free_chunks(&budget));
     assert!(!pending.await.unwrap());
     assert_eq!(free_chunks(&budget), 64);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -22,8 +22,8 @@
 const CLOSE_MARGIN: Duration = ms(50);
 /// Open requests are answered this long before the kill.
 const ANSWER_MARGIN: Duration = ms(200);
-/// The process exits this long before the kill, even if replies are still being written.
-const EXIT_MARGIN: Duration = ms(100);
+/// Connections without a pending reply are closed this long before the kill, even in the middle of a command.
+const CLOSE_ALL_MARGIN: Duration = ms(100);
 
 /// The times of the steps of a shutdown, counted from the request to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,8 +35,9 @@
     pub(crate) close_unused_at: Duration,
     /// All open requests are answered by then.
     pub(crate) answer_by: Duration,
-    /// The process exits then, even if replies are still being written.
-    pub(crate) exit_at: Duration,
+    /// All connections without a pending reply are closed then, even in the middle of a command. The process exits once
+    /// the others have their replies.
+    pub(crate) close_all_at: Duration,
 }
 
 impl ShutdownSchedule {
@@ -49,7 +50,7 @@
             accept_until,
             close_unused_at: (accept_until + FIRST_REQUEST_PERIOD).min(KILL_MARGIN - CLOSE_MARGIN),
             answer_by: killed_at - ANSWER_MARGIN,
-            exit_at: killed_at - EXIT_MARGIN,
+            close_all_at: killed_at - CLOSE_ALL_MARGIN,
         }
     }
 }
--- a/crates/node/src/upstream/cache_connection.rs
+++ b/crates/node/src/upstream/cache_connection.rs
@@ -16,7 +16,7 @@
 use super::send_permit::{SendPermit, StatedTime};
 use crate::memory_budget::{MAX_ENVELOPE_BYTES, MemoryBudget};
 use crate::metrics::Metrics;
-use crate::relay::{Chunk, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueSink, value_channel};
+use crate::relay::{Chunk, ReceiverDropped, RelayContext, SERVER_SILENCE_TIMEOUT, ValueSink, value_channel};
 use crate::request::ClientRequest;
 
 /// The start of a reply with an empty value. With this in front, the end of a relayed reply can be parsed as a complete
@@ -190,7 +190,7 @@
                 Some(_) => return Err(Outcome::ServerError),
                 None => {}
             }
-            match timeout(PROGRESS_TIMEOUT, self.socket.read_buf(&mut buffer)).await {
+            match timeout(SERVER_SILENCE_TIMEOUT, self.socket.read_buf(&mut buffer)).await {
                 Ok(Ok(read)) if read > 0 => {}
                 _ => return Err(Outcome::ConnectionReset),
             }
--- a/crates/node/src/upstream/origin_response.rs
+++ b/crates/node/src/upstream/origin_response.rs
@@ -11,8 +11,8 @@
 use super::reply_identity::{CopyDetector, ReplyIdentity, ServerReply};
 use crate::memory_budget::{BufferedValue, MAX_COVERED_VALUE_BYTES, MemoryPermit};
 use crate::relay::{
-    Chunk, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, PROGRESS_TIMEOUT, ReceiverDropped, RelayContext, ValueStream,
-    value_channel,
+    Chunk, MAX_BUFFERED_BYTES, MAX_VALUE_BYTES, ReceiverDropped, RelayContext, SERVER_SILENCE_TIMEOUT,
+    ValueStream, value_channel,
 };
 
 /// The response header that is `1` if the request was not executed.
@@ -118,7 +118,8 @@
 /// Reads the next part of a body; `None` at its end.
 async fn next_bytes(body: &mut Incoming) -> Result<Option<Bytes>, Outcome> {
     loop {
-        let frame = timeout(PROGRESS_TIMEOUT, body.frame()).await.map_err(|_| Outcome::ConnectionReset)?;
+        let frame =
+            timeout(SERVER_SILENCE_TIMEOUT, body.frame()).await.map_err(|_| Outcome::ConnectionReset)?;
         let Some(frame) = frame else { return Ok(None) };
         if let Ok(bytes) = frame.map_err(|_| Outcome::ConnectionReset)?.into_data() {
             return Ok(Some(bytes));
@@ -143,7 +144,7 @@
     let mut remaining = length;
     while remaining > 0 {
         let frame = tokio::select! {
-            frame = timeout(PROGRESS_TIMEOUT, body.frame()) => frame,
+            frame = timeout(SERVER_SILENCE_TIMEOUT, body.frame()) => frame,
             () = sink.closed() => return Err(Outcome::Canceled),
         };
         let frame = frame.ok().flatten().and_then(Result::ok).ok_or(Outcome::ConnectionReset)?;
