Bound what commands cost that no server answers, over all connections

Callers saw: beside one client that sent invalid commands or pings at full speed on one connection, three in four reads of others were refused and the slowest took 2.9 s; beside a crowd most got no answer.

Cause: a session with ready errors never yielded before the runtime's own limit; nothing bounded the processor time of commands without a server; a session read on until 1,024 replies were pending. Sound reads at full speed: the queue admits the newest first, so a connection with 64 open reads sheds those of others now and then.

Change: 16 unserved commands a connection, then one turn for as many; turns of all connections are 2 ms apart, in order. Sessions yield before further commands. Requests of a connection with 8 open ones are ordered behind others of their class (not in the simulator: it tells no connections).

--- a/crates/balancer/src/api/request.rs
+++ b/crates/balancer/src/api/request.rs
@@ -17,11 +17,14 @@
     pub timeout: Micros,
     /// Whether it is a write.
     pub is_write: bool,
+    /// Whether its client already has many requests open on the same connection. Requests of equal priority from other
+    /// connections are admitted first.
+    pub is_crowded: bool,
 }
 
 impl Request {
     /// A read without class, tenant or key, whose deadline is now.
     pub fn new(id: RequestId) -> Self {
-        Request { id, class: None, tenant: None, key: None, timeout: 0, is_write: false }
+        Request { id, class: None, tenant: None, key: None, timeout: 0, is_write: false, is_crowded: false }
     }
 }
--- a/crates/balancer/src/priority.rs
+++ b/crates/balancer/src/priority.rs
@@ -1,4 +1,5 @@
-//! The priority weight of a request: the weight of its class, reduced while its tenant exceeds its quota.
+//! The priority weight of a request: the weight of its class, reduced while its tenant exceeds its quota, and
+//! a little if its connection has many requests open.
 //!
 //! Priority weights have no unit: they only order the requests that wait for capacity. A tenant over its
 //! quota is therefore served as long as there is capacity.
@@ -14,6 +15,10 @@
 /// Priority weight of a request without a known class.
 const UNCLASSIFIED_WEIGHT: f64 = 1.0;
 
+/// Factor on the priority weight of a request whose connection has many open: behind others of the same
+/// class, and ahead of classes of less weight.
+const CROWDED_CONNECTION_FACTOR: f64 = 0.9;
+
 /// The traffic of this node, with which a tenant's traffic is compared.
 pub(crate) struct NodeTraffic {
     /// Arrivals per second, including the request whose weight is computed.
@@ -48,7 +53,8 @@
         now: Micros,
     ) -> f64 {
         let class = request.class.and_then(|class| settings.classes.get(class));
-        let weight = class.map_or(UNCLASSIFIED_WEIGHT, |class| class.priority_weight);
+        let class_weight = class.map_or(UNCLASSIFIED_WEIGHT, |class| class.priority_weight);
+        let weight = class_weight * if request.is_crowded { CROWDED_CONNECTION_FACTOR } else { 1.0 };
         let Some(tenant) = request.tenant.filter(|&tenant| tenant < settings.tenant_quotas.len()) else {
             return weight;
         };
--- a/crates/balancer/tests/admission_queue.rs
+++ b/crates/balancer/tests/admission_queue.rs
@@ -86,3 +86,24 @@
     assert!(rejected.len() > 20, "{} rejected", rejected.len());
     assert!(rejected.iter().take(20).zip(rejected.iter().skip(1)).all(|(a, b)| a < b), "{rejected:?}");
 }
+
+/// Guards against a connection that always has a newer read waiting, so that those of other connections are shed.
+#[test]
+fn reads_of_a_crowded_connection_wait_behind_others() {
+    let (mut node, first_queued) = node_at_its_limit();
+    let crowded = Request {
+        class: Some(0),
+        key: Some("k".into()),
+        timeout: SECOND,
+        is_crowded: true,
+        ..Request::new(RequestId(0))
+    };
+    for id in first_queued + 1..first_queued + 100 {
+        let actions = node.handle(Event::Request(Request { id: RequestId(id), ..crowded.clone() }));
+        let shed_first = |action: &Action| matches!(action, Action::Reject { request, .. } if *request == RequestId(first_queued));
+        assert!(!actions.iter().any(shed_first), "shed at read {id}");
+    }
+    let next = node.finish(0, 0, Outcome::Success, 10_000);
+    let is_admitted = |action: &Action| matches!(action, Action::Send { request, .. } if *request == RequestId(first_queued));
+    assert!(next.iter().any(is_admitted), "{next:?}");
+}
--- a/crates/balancer/tests/property.rs
+++ b/crates/balancer/tests/property.rs
@@ -280,7 +280,15 @@
         );
         let key = (self.rng.u8(..8) != 0).then(|| format!("k{}", self.rng.u8(..20)));
         let tenant = Some(self.rng.usize(..3));
-        self.handle(Event::Request(Request { id, class, tenant, key, timeout, is_write: write }));
+        self.handle(Event::Request(Request {
+            id,
+            class,
+            tenant,
+            key,
+            timeout,
+            is_write: write,
+            is_crowded: false,
+        }));
     }
 
     fn finish_attempt(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod pending_replies;
 mod session;
+mod turns;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicUsize};
@@ -26,6 +27,7 @@
 pub(crate) use pending_replies::ReplyDeadline;
 pub(crate) use pending_replies::RequestMemory;
 use session::Session;
+use turns::TurnSchedule;
 
 use crate::client_limits::ClientLimits;
 use crate::memory_budget::MemoryBudget;
@@ -110,6 +112,7 @@
     limits: ClientLimits,
     settings: watch::Receiver<SharedSettings>,
     idle: Arc<IdleConnections>,
+    turns: Arc<TurnSchedule>,
     /// Notified when a session has ended.
     session_ended: Arc<Notify>,
     next_request_id: Arc<AtomicU32>,
@@ -129,6 +132,7 @@
         SessionContext {
             driver,
             idle: Arc::new(IdleConnections::new(limits.idle_connections)),
+            turns: Arc::new(TurnSchedule::new()),
             limits,
             settings,
             session_ended: Arc::default(),
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -5,6 +5,7 @@
 mod memory;
 mod replies;
 
+use std::future::{pending, ready};
 use std::io;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use super::disconnect::{UnreadTracker, disconnected, linger};
 use super::idle::{IdleSlot, IdleState};
 use super::pending_replies::{PendingReplies, PendingReply};
+use super::turns::TurnAccount;
 use crate::client_status::ClientStatus;
 use crate::invariants::Invariant;
 use crate::memory_budget::MemoryPermit;
@@ -64,6 +66,8 @@
     watches_disconnect: bool,
     may_time_out: bool,
     times_out_at: Instant,
+    /// When the turn is due without which the connection starts no command.
+    turn_at: Option<Instant>,
 }
 
 /// The state of one client connection.
@@ -91,6 +95,8 @@
     read_at: Instant,
     unread: UnreadTracker,
     pending: PendingReplies,
+    /// What the connection has had of commands that no server answers.
+    turns: TurnAccount,
     /// Whether the client has ever sent a valid command.
     has_sent_command: bool,
     /// Whether the client has ever sent a request, rather than only a `PING`.
@@ -123,6 +129,7 @@
             read_at: now,
             unread: UnreadTracker::new(context.stalls.clone()),
             pending: PendingReplies::default(),
+            turns: TurnAccount::default(),
             has_sent_command: false,
             has_sent_request: false,
             timeout_started_at: now,
@@ -179,12 +186,16 @@
         let closing = self.context.closing.clone();
         let mut slot = None;
         loop {
+            if self.may_have_more {
+                yield_now().await; // a client that always has more commands must not keep others waiting
+            }
             let shutting_down = closing.used.is_cancelled();
             if let Some(close_reason) = self.close_reason(shutting_down) {
                 socket.shutdown_write()?;
                 return Ok(close_reason);
             }
             self.update_idle_slot(&mut slot);
+            self.turns.update(&self.context.turns);
             self.update_memory_wait(shutting_down);
             self.update_reply_wait();
             self.pending.begin_turn();
@@ -211,7 +222,8 @@
                 reply = self.pending.next(), if guards.has_pending_replies => {
                     self.write_reply(socket, reply).await?;
                 }
-                () = yield_now(), if self.may_have_more => {}
+                () = ready(()), if self.may_have_more => {}
+                () = turn_due(guards.turn_at), if guards.turn_at.is_some() => {}
                 () = closing.used.cancelled(), if !guards.shutting_down => {}
                 () = closing.unused.cancelled(), if !closing.unused.is_cancelled() => {}
                 () = closing.all.cancelled(), if !closing.all.is_cancelled() => {}
@@ -290,6 +302,7 @@
             watches_disconnect: !(self.may_have_more || reads && has_buffer),
             may_time_out: self.may_time_out(),
             times_out_at: self.times_out_at(),
+            turn_at: self.turns.turn_at(),
         }
     }
 
@@ -314,7 +327,7 @@
     /// the first valid command and while a command is incomplete.
     fn may_time_out(&self) -> bool {
         let sends_nothing = self.pending.is_empty() && (!self.has_sent_command || self.has_partial_command());
-        self.malformed_at.is_some() || sends_nothing
+        self.malformed_at.is_some() || sends_nothing && self.turns.may_start()
     }
 
     fn times_out_at(&self) -> Instant {
@@ -341,6 +354,14 @@
     }
 }
 
+/// Waits until a turn is due, forever if there is none.
+async fn turn_due(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
+
 /// Whether the client, rather than the node, ended a connection.
 fn is_ended_by_client(ended: &io::Result<CloseReason>) -> bool {
     match ended {
--- a/crates/node/src/clients/session/commands.rs
+++ b/crates/node/src/clients/session/commands.rs
@@ -28,6 +28,8 @@
 
 /// The number of requests that one connection may have open. Requests beyond it are rejected.
 const MAX_OPEN_REQUESTS: usize = 64;
+/// The number of requests that one connection may have open before requests of others are admitted first.
+const SHARED_OPEN_REQUESTS: usize = 8;
 /// The number of replies, including errors, that one connection may have pending. Nothing more is read from it until
 /// some are written.
 const MAX_PENDING_REPLIES: usize = 1024;
@@ -51,13 +53,15 @@
     }
 
     /// Whether another command may be started. While the open requests of all connections occupy too much memory, a
-    /// connection may have one pending reply at a time.
+    /// connection may have one pending reply at a time. A connection with many commands that no server answered waits for
+    /// its turn.
     pub(super) fn may_start_command(&self) -> bool {
         let has_memory = || {
             let used = self.context.request_memory.load(Ordering::Relaxed);
             used < self.context.limits.memory_bytes / REQUEST_MEMORY_DIVISOR
         };
         self.malformed_at.is_none()
+            && self.turns.may_start()
             && self.pending.len() < MAX_PENDING_REPLIES
             && (self.pending.is_empty() || has_memory())
     }
@@ -123,7 +127,8 @@
     }
 
     /// A reply that does not come from the driver.
-    fn ready(&self, frame: BytesFrame) -> PendingReply {
+    fn ready(&mut self, frame: BytesFrame) -> PendingReply {
+        self.turns.charge(1);
         PendingReply::Ready(frame, self.pending_reply_memory())
     }
 
@@ -171,6 +176,7 @@
             id,
             request,
             received_at: self.received_at,
+            is_crowded: self.pending.open_requests() >= SHARED_OPEN_REQUESTS,
             response: sender,
             client: self.status.clone(),
             reservation: ReplyReservation::new(self.reply_permit.take()),
@@ -214,7 +220,7 @@
     }
 
     /// The reply to a command that cannot be executed.
-    fn error_reply(&self, error: &ClientCommandError) -> PendingReply {
+    fn error_reply(&mut self, error: &ClientCommandError) -> PendingReply {
         self.ready(BytesFrame::Error(format!("ERR {error}").into()))
     }
 
@@ -238,6 +244,7 @@
     fn reject_excess(&mut self, request: &ClientRequest) -> PendingReply {
         let (sender, response) = oneshot::channel();
         let class = request.class_name().map(str::to_owned);
+        self.turns.charge(1);
         // If the driver has ended, the sender is dropped and the request fails.
         let _ = self.context.driver.send(Message::ExcessRequest(ExcessRequest { class, response: sender }));
         self.has_sent_request = true;
--- a/crates/node/src/clients/session/replies.rs
+++ b/crates/node/src/clients/session/replies.rs
@@ -24,17 +24,21 @@
 const MAX_BATCH_BYTES: usize = 16 << 10;
 
 /// Replies that are written together.
+#[derive(Default)]
 struct ReplyBatch {
     text: BytesMut,
     /// The deadlines of the replies that have one.
     deadlines: Vec<ReplyDeadline>,
     /// The memory of the replies, accounted until they have been written.
     memory: Vec<ReplyMemory>,
+    /// The number of requests that were rejected or failed.
+    unserved: usize,
 }
 
 impl ReplyBatch {
     fn add(&mut self, reply: FrameReply) {
         encode(&mut self.text, &reply.frame);
+        self.unserved += usize::from(reply.deadline.is_some() && matches!(reply.frame, BytesFrame::Error(_)));
         self.deadlines.extend(reply.deadline);
         self.memory.push(reply.memory);
     }
@@ -46,6 +50,7 @@
         match reply {
             WritableReply::Frame(first) => {
                 let batch = self.collect_batch(first);
+                self.turns.charge(batch.unserved);
                 let mut writer = ProgressWriter::new(socket);
                 self.while_client_takes(socket, writer.last_progress(), writer.write_all(&batch.text))
                     .await?;
@@ -118,7 +123,7 @@
 
     /// Adds the replies after the first one that are ready, up to [`MAX_BATCH_BYTES`].
     fn collect_batch(&mut self, first: FrameReply) -> ReplyBatch {
-        let mut batch = ReplyBatch { text: BytesMut::new(), deadlines: Vec::new(), memory: Vec::new() };
+        let mut batch = ReplyBatch::default();
         batch.add(first);
         while batch.text.len() < MAX_BATCH_BYTES {
             let Some(reply) = self.pending.take_ready() else { break };
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -15,8 +15,17 @@
 impl Driver {
     /// Opens a request, unless its client has disconnected already.
     pub(super) fn on_request_received(&mut self, incoming: IncomingRequest) {
-        let IncomingRequest { id, request, received_at, response, client, reservation, turn, memory } =
-            incoming;
+        let IncomingRequest {
+            id,
+            request,
+            received_at,
+            is_crowded,
+            response,
+            client,
+            reservation,
+            turn,
+            memory,
+        } = incoming;
         if client.is_disconnected() {
             return;
         }
@@ -28,6 +37,7 @@
             key: Some(request.key.clone()),
             timeout: request.timeout.saturating_sub(spent.as_micros() as Micros),
             is_write: request.value.is_some(),
+            is_crowded,
         };
         let class = request.class_name().filter(|_| event.class.is_some());
         let open = OpenRequest {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -97,6 +97,8 @@
     pub(crate) request: ClientRequest,
     /// The earliest time at which the request may have arrived. Its timeout counts from then.
     pub(crate) received_at: Instant,
+    /// Whether the client has many requests open on its connection.
+    pub(crate) is_crowded: bool,
     /// Receives the response.
     pub(crate) response: oneshot::Sender<Response>,
     pub(crate) client: ClientStatus,
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -93,6 +93,7 @@
             key: request.key,
             timeout: micros_from_millis(request.timeout),
             is_write: request.write.unwrap_or(false),
+            is_crowded: false, // the simulator does not tell which connection a request came on
         })
     }
 }
