--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -32,6 +32,8 @@
 const SMALL_BUFFER_BYTES: usize = 8 << 10;
 /// A connection that does not send a valid command for this long is closed.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The bytes that a session reads before it lets other tasks run.
+const READ_BYTES_PER_TURN: usize = 32 << 10;
 /// How long pending replies may delay the close of the connection after a malformed command.
 const MALFORMED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A client that does not send valid commands gets an error, or its connection is closed, within this time.
@@ -93,6 +95,8 @@
     received_at: Instant,
     /// The time of the last read.
     read_at: Instant,
+    /// The number of bytes read since the session last let other tasks run.
+    read_bytes: usize,
     unread: UnreadTracker,
     pending: PendingReplies,
     /// What the connection has had of commands that no server answers.
@@ -127,6 +131,7 @@
             progress_bytes: 0,
             received_at: now,
             read_at: now,
+            read_bytes: 0,
             unread: UnreadTracker::new(context.stalls.clone()),
             pending: PendingReplies::default(),
             turns: TurnAccount::default(),
@@ -186,8 +191,9 @@
         let closing = self.context.closing.clone();
         let mut slot = None;
         loop {
-            if self.may_have_more {
-                yield_now().await; // a client that always has more commands must not keep others waiting
+            if self.may_have_more || self.read_bytes >= READ_BYTES_PER_TURN {
+                self.read_bytes = 0;
+                yield_now().await; // a client that always has more to read must not keep others waiting
             }
             let shutting_down = closing.used.is_cancelled();
             if let Some(close_reason) = self.close_reason(shutting_down) {
@@ -339,6 +345,7 @@
         let now = Instant::now();
         self.received_at = self.unread.earliest_arrival(socket);
         self.read_at = now;
+        self.read_bytes += read;
         if self.discarded.is_some() {
             self.discard_read_bytes();
             return;
