--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -160,7 +160,7 @@
 /// Guards against a disconnect that goes unnoticed until the value which a cache has stopped sending is given up.
 #[test]
 fn client_disconnect_is_noticed_while_its_value_is_stalled() {
-    /// Half of the time after which a stalled value is given up.
+    /// Much less than the time after which a stalled value is given up.
     const LIMIT: Duration = Duration::from_millis(2_500);
     let (cache, origin) = (FakeServer::cache(), FakeServer::http());
     let node = Node::start(&server_list(41, &[(CACHE, cache.addr)], origin.addr), FakeServer::http().addr);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -18,8 +18,9 @@
 pub(crate) const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// The largest chunk in which longer values are relayed, in bytes.
 pub(crate) const CHUNK_BYTES: usize = 16 << 10;
-/// A value is abandoned if its server sends no byte of it for this long.
-pub(crate) const SERVER_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// A value is abandoned if its server sends no byte of it for this long. After a partition of 6 s, TCP may take as long
+/// again until it repeats what was lost.
+pub(crate) const SERVER_SILENCE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The largest command or reply, in bytes: a value and up to 4 KiB around it.
 pub(crate) const MAX_FRAME_BYTES: usize = MAX_VALUE_BYTES + (4 << 10);
 
