Close a server's idle connections when the list tells a new start of it

Cause: idle connections ended with the server's address or entry, not with its process. Those of a machine that vanished look open, so a request after the restart was written to one and reset.

Two listed ids at one address were not played.

--- a/crates/node/src/upstream/directory/server.rs
+++ b/crates/node/src/upstream/directory/server.rs
@@ -56,6 +56,10 @@
             self.serving = ServingFlag::new();
             self.idle.close_all();
         }
+        if self.started_ms != listed.started_ms {
+            // The connections are to the process that was there before. If its machine vanished, they look open.
+            self.idle.close_all();
+        }
         if self.endpoint.state != endpoint.state || self.started_ms != listed.started_ms {
             log_change(listed);
         }
