Keep no id that only the other process has, and give up a shared file that fails

An id that the other process of an upgrade had was kept in this one's memory too, so that a write failed here for good although the other process had not executed it and had released the id. And a stopped process that holds the lock would have held up the event loop for 0.2 s at each write: the file is given up at the first failure, with the event write_ids_not_shared.

Tests: id_is_known_to_the_other_process asks the successor for the released id; locked_file_holds_up_one_write_only.

--- a/crates/node/src/write_ids.rs
+++ b/crates/node/src/write_ids.rs
@@ -37,7 +37,8 @@
 pub(crate) struct WriteIds {
     /// The ids of this process.
     memory: MemoryTable,
-    /// The ids of all processes of the node, where there may be two.
+    /// The ids of all processes of the node, where there may be two; `None` after a failure, since each further one could
+    /// hold up the node.
     file: Option<FileTable>,
 }
 
@@ -63,7 +64,8 @@
     pub(crate) fn claim(&mut self, id: &[u8]) -> bool {
         let id = WriteId::of(id);
         let insert = |bucket: &mut Bucket| bucket.insert(id);
-        self.memory.update(id, insert).unwrap_or(true) && self.update_file(id, insert).unwrap_or(true)
+        // The file first: an id of the other process, which may yet release it, is not kept in memory.
+        self.update_file(id, insert).unwrap_or(true) && self.memory.update(id, insert).unwrap_or(true)
     }
 
     /// Forgets an id whose write was certainly not executed.
@@ -74,15 +76,19 @@
         self.update_file(id, remove);
     }
 
-    /// Changes the shared file, if there is one that can be used.
+    /// Changes the shared file, if there is one. Uses it no more after a failure.
     fn update_file<T>(&mut self, id: WriteId, change: impl FnOnce(&mut Bucket) -> T) -> Option<T> {
         let updated = self.file.as_mut()?.update(id, change);
-        updated.inspect_err(warn_not_shared).ok()
+        if let Err(error) = &updated {
+            warn_not_shared(error);
+            self.file = None;
+        }
+        updated.ok()
     }
 }
 
 fn warn_not_shared(error: &io::Error) {
-    warn!(event = "write_ids_not_shared", %error, "a write's id is not known to the other process of an upgrade");
+    warn!(event = "write_ids_not_shared", %error, "the ids of writes are not shared with the other process of an upgrade any more");
 }
 
 #[cfg(test)]
--- a/crates/node/src/write_ids/tests.rs
+++ b/crates/node/src/write_ids/tests.rs
@@ -31,7 +31,21 @@
     assert!(successor.claim(b"other"));
     assert!(!former.claim(b"other"));
     former.release(b"one");
-    assert!(process().claim(b"one"));
+    assert!(successor.claim(b"one"), "a write that the former process did not execute");
+    assert!(!process().claim(b"one"));
+}
+
+/// Guards against an event loop that each write holds up again, because the other process is stopped with the lock.
+#[test]
+fn locked_file_holds_up_one_write_only() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut ids = WriteIds::in_directory(Some(directory.path().into()));
+    let path = directory.path().read_dir().unwrap().next().unwrap().unwrap().path();
+    let stopped_process = std::fs::File::open(path).unwrap();
+    stopped_process.lock().unwrap();
+    assert!(ids.claim(b"one"));
+    assert!(ids.file.is_none());
+    assert!(!ids.claim(b"one"));
 }
 
 /// Guards against memory that grows without end, and against recent ids that are forgotten.
