Count the waits of connections for a turn; one wait for an optional time

Operators could not see that clients flood a node with commands that no server answers: svc_turn_waits_total. The wait until a time that may be missing stood twice in the session.

Measured: floods.rs, leavers.rs, memory.rs, replaced_servers.rs and the node's tests green.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -208,6 +208,12 @@
     }
     assert!(peak < MEMORY_MB << 20, "{flood:?}: {} KiB", peak >> 10);
     assert!(replies.load(Ordering::Relaxed) > 0, "{flood:?}: the flood gets no reply");
+    // Large commands come too rarely for that.
+    let waits = node.metric("svc_turn_waits_total") > 0.0;
+    assert!(
+        waits || matches!(flood, Flood::LargeWritesOfUnknownClasses),
+        "{flood:?}: nobody waited for a turn"
+    );
     drop(flooding);
 }
 
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -201,7 +201,9 @@
                 return Ok(close_reason);
             }
             self.update_idle_slot(&mut slot);
-            self.turns.update(&self.context.turns);
+            if self.turns.update(&self.context.turns) {
+                self.context.metrics.turn_waits.increment();
+            }
             self.update_memory_wait(shutting_down);
             self.update_reply_wait();
             self.pending.begin_turn();
@@ -231,7 +233,7 @@
                     self.write_reply(socket, reply).await?;
                 }
                 () = ready(()), if self.may_have_more => {}
-                () = turn_due(guards.turn_at), if guards.turn_at.is_some() => {}
+                () = sleep_until_if_some(guards.turn_at) => {}
                 () = closing.used.cancelled(), if !guards.shutting_down => {}
                 () = closing.unused.cancelled(), if !closing.unused.is_cancelled() => {}
                 () = closing.all.cancelled(), if !closing.all.is_cancelled() => {}
@@ -363,8 +365,8 @@
     }
 }
 
-/// Waits until a turn is due, forever if there is none.
-async fn turn_due(at: Option<Instant>) {
+/// Waits until a time, forever if there is none.
+async fn sleep_until_if_some(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at).await,
         None => pending().await,
--- a/crates/node/src/clients/session/memory.rs
+++ b/crates/node/src/clients/session/memory.rs
@@ -8,10 +8,10 @@
 
 use bytes::{Buf, BytesMut};
 use stonefold_net::Socket;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 use tracing::debug;
 
-use super::{SMALL_BUFFER_BYTES, Session};
+use super::{SMALL_BUFFER_BYTES, Session, sleep_until_if_some};
 use crate::clients::command::{AnnouncedWrite, ClientCommandError};
 use crate::memory_budget::{
     MAX_REPLY_BYTES, MAX_SMALL_COMMAND_BYTES, MemoryBudget, MemoryPermit, is_small_command,
@@ -66,17 +66,11 @@
     pub(super) async fn next_event(wait: &mut Option<MemoryWait>) -> MemoryWaitEvent {
         let Some(wait) = wait else { return pending().await };
         let discard_at = wait.discard_at;
-        let expired = async {
-            match discard_at {
-                Some(at) => sleep_until(at).await,
-                None => pending().await,
-            }
-        };
         tokio::select! {
             biased;
             // Fails only if the budget is closed, which never happens.
             Ok(permit) = &mut wait.reservation => MemoryWaitEvent::Reserved(permit),
-            () = expired => MemoryWaitEvent::Expired,
+            () = sleep_until_if_some(discard_at) => MemoryWaitEvent::Expired,
             () = sleep(PROBE_INTERVAL) => MemoryWaitEvent::ProbeDue,
         }
     }
--- a/crates/node/src/clients/turns.rs
+++ b/crates/node/src/clients/turns.rs
@@ -57,17 +57,20 @@
         self.unpaid < COMMANDS_PER_TURN
     }
 
-    /// Takes the turns that are due, and reserves the next one if the connection needs it.
-    pub(crate) fn update(&mut self, schedule: &TurnSchedule) {
+    /// Takes the turns that are due, and reserves the next one if the connection needs it. Returns whether a wait for a
+    /// turn has begun.
+    pub(crate) fn update(&mut self, schedule: &TurnSchedule) -> bool {
         while !self.may_start() {
             let now = Instant::now();
+            let is_new = self.turn_at.is_none();
             let turn_at = *self.turn_at.get_or_insert_with(|| schedule.reserve(now));
             if turn_at > now {
-                return;
+                return is_new;
             }
             self.turn_at = None;
             self.unpaid -= COMMANDS_PER_TURN;
         }
+        false
     }
 
     /// When the turn is due that the connection waits for. `None` if it may start commands.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -55,6 +55,8 @@
     pub(crate) discarded_commands: Counter,
     /// Replies that may be a second copy of the one before on their connection, and were not passed on.
     pub(crate) repeated_replies: Counter,
+    /// Waits of client connections for a turn, after many commands that no server answered.
+    pub(crate) turn_waits: Counter,
     /// Writes that failed because their id had come before.
     pub(crate) repeated_writes: Counter,
     /// Values that are short enough to be buffered and were relayed for want of memory.
@@ -179,6 +181,7 @@
             ("svc_commands_discarded_total", "counter", self.discarded_commands.get()),
             ("svc_held_values_failed_total", "counter", self.incomplete_held_values.get()),
             ("svc_repeated_replies_total", "counter", self.repeated_replies.get()),
+            ("svc_turn_waits_total", "counter", self.turn_waits.get()),
             ("svc_repeated_writes_total", "counter", self.repeated_writes.get()),
             ("svc_connections_opened_total", "counter", self.opened_connections.get()),
             ("svc_values_unbuffered_total", "counter", self.unbuffered_values.get()),
--- a/crates/node/src/metrics/tests.rs
+++ b/crates/node/src/metrics/tests.rs
@@ -128,6 +128,7 @@
     metrics.discarded_commands.set(119);
     metrics.incomplete_held_values.set(120);
     metrics.repeated_replies.set(121);
+    metrics.turn_waits.set(125);
     metrics.repeated_writes.set(124);
     metrics.opened_connections.set(122);
     metrics.unbuffered_values.set(123);
